--- /dev/null
+++ b/src/adapter/codec.rs
@@ -0,0 +1,20 @@
+//! `rmp-serde` bodies between our processes, and hex.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Media type of a MessagePack body.
+pub const MSGPACK: &str = "application/msgpack";
+
+/// Encodes with field names, so that versions can differ by a field.
+pub fn pack<T: Serialize>(value: &T) -> Vec<u8> {
+    rmp_serde::to_vec_named(value).unwrap_or_else(|e| {
+        crate::invariants::violated(&format!("value does not encode: {e}"));
+        Vec::new()
+    })
+}
+
+/// Decodes what [`pack`] made.
+pub fn unpack<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, rmp_serde::decode::Error> {
+    rmp_serde::from_slice(bytes)
+}
--- /dev/null
+++ b/src/adapter/http.rs
@@ -0,0 +1,131 @@
+//! HTTP client for calls between our processes and to the platform: short, bounded, pooled.
+
+use std::fmt::Display;
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use ureq::Agent;
+
+use super::codec;
+
+/// Largest body taken from a peer or the platform, in bytes.
+const BODY_LIMIT: u64 = 64 << 20;
+/// Longest wait for a connection.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// Why a call brought no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// The other side refused the call and did nothing.
+    #[error("refused with status {status}: {text}")]
+    Status { status: u16, text: String },
+    /// No connection came about, so nothing was sent.
+    #[error("not reached: {0}")]
+    Unreached(String),
+    /// The call may have taken effect.
+    #[error("no answer: {0}")]
+    Unanswered(String),
+    /// The answer can't be read.
+    #[error("bad answer: {0}")]
+    Garbled(String),
+}
+
+impl CallError {
+    /// True when the call certainly had no effect.
+    pub fn is_void(&self) -> bool {
+        matches!(self, Self::Unreached(_) | Self::Status { .. })
+    }
+}
+
+/// A client with one bound for each whole call.
+#[derive(Debug, Clone)]
+pub struct Client {
+    agent: Agent,
+}
+
+impl Client {
+    /// A client whose calls end after `limit` milliseconds.
+    pub fn new(limit: u64) -> Self {
+        let agent = Agent::config_builder()
+            .timeout_global(Some(Duration::from_millis(limit)))
+            .timeout_connect(Some(CONNECT))
+            .http_status_as_error(false)
+            .proxy(None)
+            .build()
+            .new_agent();
+        Self { agent }
+    }
+
+    /// GET; returns the body of a 2xx answer.
+    pub fn get(&self, url: &str) -> Result<Vec<u8>, CallError> {
+        finish(self.agent.get(url).call())
+    }
+
+    /// POST of raw bytes; returns the body of a 2xx answer.
+    pub fn post(&self, url: &str, body: &[u8]) -> Result<Vec<u8>, CallError> {
+        finish(
+            self.agent
+                .post(url)
+                .header("content-type", codec::MSGPACK)
+                .send(body),
+        )
+    }
+
+    /// GET of a JSON value.
+    pub fn get_json<T: DeserializeOwned>(&self, url: &str) -> Result<T, CallError> {
+        serde_json::from_slice(&self.get(url)?).map_err(garbled)
+    }
+
+    /// GET of a MessagePack value.
+    pub fn get_packed<T: DeserializeOwned>(&self, url: &str) -> Result<T, CallError> {
+        codec::unpack(&self.get(url)?).map_err(garbled)
+    }
+
+    /// POST of a MessagePack value for another one.
+    pub fn exchange<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        url: &str,
+        value: &Q,
+    ) -> Result<A, CallError> {
+        codec::unpack(&self.post(url, &codec::pack(value))?).map_err(garbled)
+    }
+}
+
+fn garbled(e: impl Display) -> CallError {
+    CallError::Garbled(e.to_string())
+}
+
+fn finish(
+    result: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
+) -> Result<Vec<u8>, CallError> {
+    let mut response = result.map_err(|e| sort(&e))?;
+    let status = response.status().as_u16();
+    let body = response
+        .body_mut()
+        .with_config()
+        .limit(BODY_LIMIT)
+        .read_to_vec();
+    let body = body.map_err(|e| CallError::Unanswered(e.to_string()))?;
+    if (200..300).contains(&status) {
+        return Ok(body);
+    }
+    Err(CallError::Status {
+        status,
+        text: String::from_utf8_lossy(&body).into_owned(),
+    })
+}
+
+fn sort(e: &ureq::Error) -> CallError {
+    let unreached = match e {
+        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => true,
+        ureq::Error::Timeout(t) => matches!(t, ureq::Timeout::Connect | ureq::Timeout::Resolve),
+        ureq::Error::Io(io) => io.kind() == std::io::ErrorKind::ConnectionRefused,
+        _ => false,
+    };
+    if unreached {
+        CallError::Unreached(e.to_string())
+    } else {
+        CallError::Unanswered(e.to_string())
+    }
+}
--- /dev/null
+++ b/src/cmd/ctl/audit.rs
@@ -0,0 +1,90 @@
+//! `audit`: lists changes of configuration and decisions of the fleet, oldest first.
+
+use std::time::{Duration, UNIX_EPOCH};
+
+use super::{Stop, addr, fold, options};
+use crate::adapter::clock::Millis;
+use crate::adapter::codec;
+use crate::adapter::log::Log;
+use crate::config::{Fleet, diff};
+use crate::fleet::audit;
+use crate::fleet::config::{Decided, Outcome};
+
+const BRIEF: &str = "usage: sassafras-ctl audit --log IP:PORT";
+
+pub(super) struct Audit {
+    log: Log,
+}
+
+impl Audit {
+    pub(super) fn new(args: &[String]) -> Result<Self, Stop> {
+        let matches = options(BRIEF, args, |_| {})?;
+        Ok(Self {
+            log: Log::new(addr(&matches, "log")?),
+        })
+    }
+
+    pub(super) fn run(self) -> Result<(), Stop> {
+        let lost = |e| Stop::failed("can't read the log", e);
+        let (_, decided) = fold(&self.log).map_err(lost)?;
+        let mut rows = changes(&decided);
+        let mut next = 0;
+        loop {
+            let page = self.log.read(audit::STREAM, next, 0).map_err(lost)?;
+            for record in &page.records {
+                next = record.offset + 1;
+                let list = codec::unpack::<Vec<audit::Record>>(&record.data).unwrap_or_default();
+                rows.extend(list.iter().map(|r| (r.event().at, line(r.event()))));
+            }
+            if page.records.is_empty() {
+                break;
+            }
+        }
+        rows.sort_by_key(|(at, _)| *at);
+        for (at, text) in rows {
+            println!("{} {text}", stamp(at));
+        }
+        Ok(())
+    }
+}
+
+/// One row for each publication, and one for each key that it changed.
+fn changes(decided: &[Decided]) -> Vec<(Millis, String)> {
+    let mut rows = Vec::new();
+    let mut before = String::new();
+    for d in decided {
+        let meta = Fleet::parse("config", &d.publish.text).ok().map(|f| f.meta);
+        let (reviewer, reason) =
+            meta.map_or((String::new(), String::new()), |m| (m.reviewer, m.reason));
+        let outcome = match &d.outcome {
+            Outcome::Accepted { version } => format!("accepted as version {version}"),
+            Outcome::Conflict { version, author } => {
+                format!("conflict with version {version} by {author}")
+            }
+            Outcome::Invalid { .. } => "invalid".to_owned(),
+        };
+        let text = format!(
+            "config edit of version {} by {}, reviewed by {reviewer}: {outcome}: {reason}",
+            d.publish.base, d.publish.author
+        );
+        rows.push((d.at, text));
+        if matches!(d.outcome, Outcome::Accepted { .. }) {
+            rows.extend(
+                diff(&before, &d.publish.text)
+                    .into_iter()
+                    .map(|c| (d.at, format!("  {c}"))),
+            );
+            before.clone_from(&d.publish.text);
+        }
+    }
+    rows
+}
+
+fn line(event: &audit::Event) -> String {
+    let kind = format!("{:?}", event.kind).to_lowercase();
+    format!("{} {kind} {}: {}", event.who, event.subject, event.detail)
+}
+
+fn stamp(at: Millis) -> String {
+    humantime::format_rfc3339_millis(UNIX_EPOCH + Duration::from_millis(at)).to_string()
+}
--- /dev/null
+++ b/src/cmd/ctl/show.rs
@@ -0,0 +1,70 @@
+//! `show`: prints the configuration in force, ready to be edited and published.
+
+use getopts::Matches;
+
+use super::{Stop, addr, client, entries, fold, options};
+use crate::adapter::log::Log;
+use crate::config::ini;
+
+const BRIEF: &str = "usage: sassafras-ctl show (--log IP:PORT | --entry IP:PORT)";
+
+pub(super) struct Show {
+    matches: Matches,
+}
+
+impl Show {
+    pub(super) fn new(args: &[String]) -> Result<Self, Stop> {
+        Ok(Self {
+            matches: options(BRIEF, args, |_| {})?,
+        })
+    }
+
+    pub(super) fn run(self) -> Result<(), Stop> {
+        let (version, text) = if self.matches.opt_present("log") {
+            self.read_log()?
+        } else {
+            self.ask_entry()?
+        };
+        print!("{}", rebase(&text, version));
+        Ok(())
+    }
+
+    fn read_log(&self) -> Result<(u64, String), Stop> {
+        let log = Log::new(addr(&self.matches, "log")?);
+        let (fold, _) = fold(&log).map_err(|e| Stop::failed("can't read the log", e))?;
+        let none = || Stop::Failed("no configuration is in force on the log".to_owned());
+        let current = fold.current().ok_or_else(none)?;
+        Ok((current.version, current.text.to_string()))
+    }
+
+    fn ask_entry(&self) -> Result<(u64, String), Stop> {
+        let entry = entries(&self.matches)?[0];
+        let value: serde_json::Value = client()
+            .get_json(&format!("http://{entry}/config"))
+            .map_err(|e| Stop::failed(&format!("can't ask {entry}"), e))?;
+        let version = value["version"].as_u64().unwrap_or(0);
+        Ok((version, value["text"].as_str().unwrap_or("").to_owned()))
+    }
+}
+
+/// The document with `base` set to `version`, for the next edit.
+pub(super) fn rebase(text: &str, version: u64) -> String {
+    let mut out = String::new();
+    let mut findings = crate::config::Findings::new("");
+    let sections = ini::parse(text, &mut findings);
+    let meta = sections.iter().find(|s| s.kind == "fleet");
+    let base = meta.and_then(|s| s.pairs.get("base")).map_or(0, |v| v.line);
+    let head = meta.map_or(0, |s| s.line);
+    for (i, line) in text.lines().enumerate() {
+        if i + 1 == base {
+            out.push_str(&format!("base = {version}\n"));
+            continue;
+        }
+        out.push_str(line);
+        out.push('\n');
+        if base == 0 && i + 1 == head {
+            out.push_str(&format!("base = {version}\n"));
+        }
+    }
+    out
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,103 @@
+//! The programs: each reads its command line, runs, and returns an error with an exit code.
+
+pub mod ctl;
+pub mod entry;
+pub mod load;
+pub mod standin;
+
+use std::fmt::Display;
+use std::process::ExitCode;
+
+use getopts::{Matches, Options};
+use tracing_subscriber::EnvFilter;
+
+/// Why a program ended without success.
+#[derive(Debug, thiserror::Error)]
+pub enum Stop {
+    /// The command line is wrong.
+    #[error("{0}")]
+    Usage(String),
+    /// An input has findings.
+    #[error("{0}")]
+    Invalid(String),
+    /// The work could not be done.
+    #[error("{0}")]
+    Failed(String),
+    /// Another operator's change came first.
+    #[error("{0}")]
+    Conflict(String),
+    /// The outcome is not known.
+    #[error("{0}")]
+    Unknown(String),
+    /// Help was asked for.
+    #[error("{0}")]
+    Help(String),
+}
+
+impl Stop {
+    /// Adds what was being done to an error.
+    pub fn failed(what: &str, e: impl Display) -> Self {
+        Self::Failed(format!("{what}: {e}"))
+    }
+
+    fn code(&self) -> u8 {
+        match self {
+            Self::Help(_) => 0,
+            Self::Failed(_) => 1,
+            Self::Usage(_) => 2,
+            Self::Invalid(_) => 3,
+            Self::Conflict(_) => 4,
+            Self::Unknown(_) => 5,
+        }
+    }
+}
+
+/// Runs a program and maps its error to an exit code.
+pub fn main(run: fn(&[String]) -> Result<(), Stop>) -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Stop::Help(text)) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(stop) => {
+            eprintln!("{stop}");
+            ExitCode::from(stop.code())
+        }
+    }
+}
+
+/// Parses a command line; `brief` is shown with the options on `--help`.
+pub(crate) fn parse(options: &mut Options, brief: &str, args: &[String]) -> Result<Matches, Stop> {
+    options.optflag("h", "help", "show this text");
+    let matches = options
+        .parse(args)
+        .map_err(|e| Stop::Usage(format!("{e}\n{brief}")))?;
+    if matches.opt_present("help") {
+        return Err(Stop::Help(options.usage(brief)));
+    }
+    Ok(matches)
+}
+
+/// Reads a file as text.
+pub(crate) fn slurp(path: &str) -> Result<String, Stop> {
+    std::fs::read_to_string(path).map_err(|e| Stop::failed(&format!("can't read {path}"), e))
+}
+
+/// Starts the log output; `RUST_LOG` overrides the level.
+pub(crate) fn logs(json: bool) {
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .with_target(false);
+    let done = if json {
+        builder.json().try_init()
+    } else {
+        builder.try_init()
+    };
+    if let Err(e) = done {
+        eprintln!("logs can't be started: {e}");
+    }
+}
--- /dev/null
+++ b/src/config/diff.rs
@@ -0,0 +1,37 @@
+//! Difference of two documents, key by key.
+
+use indexmap::IndexMap;
+
+use super::findings::Findings;
+use super::ini;
+
+/// Changes from `before` to `after`, one line each.
+pub fn diff(before: &str, after: &str) -> Vec<String> {
+    let (old, new) = (flat(before), flat(after));
+    let mut out = Vec::new();
+    for (key, value) in &new {
+        match old.get(key) {
+            None => out.push(format!("{key}: set to `{value}`")),
+            Some(was) if was != value => out.push(format!("{key}: `{was}` becomes `{value}`")),
+            Some(_) => {}
+        }
+    }
+    let gone = old.keys().filter(|k| !new.contains_key(*k));
+    out.extend(gone.map(|key| format!("{key}: removed")));
+    out
+}
+
+/// All keys as `[section] key`; the `[fleet]` section changes with every document.
+fn flat(text: &str) -> IndexMap<String, String> {
+    let mut findings = Findings::new("");
+    let mut map = IndexMap::new();
+    for s in ini::parse(text, &mut findings)
+        .iter()
+        .filter(|s| s.kind != "fleet")
+    {
+        for (key, value) in &s.pairs {
+            map.insert(format!("[{}] {key}", s.title()), value.text.clone());
+        }
+    }
+    map
+}
--- /dev/null
+++ b/src/config/fleet.rs
@@ -0,0 +1,685 @@
+//! The fleet's configuration: one document, validated as a whole.
+
+use indexmap::IndexMap;
+use sha2::{Digest, Sha256};
+
+use super::findings::Findings;
+use super::ini::{self, Section, Span, YesNo};
+use crate::adapter::clock::Millis;
+
+/// Number of tiers that a document may define.
+pub const MAX_TIERS: usize = 4;
+/// Largest sum of guaranteed shares, so that free capacity remains for urgent work.
+pub const MAX_SHARES: f64 = 0.8;
+const HASH_PREFIX: &str = "sha256:";
+const HASH_HEX_LEN: usize = 64;
+
+data! {
+    /// Numbers that defaults, classes and exceptions may set. Durations are in milliseconds.
+    #[derive(Copy)]
+    pub struct Params {
+        /// Target for the first token, or for the whole answer of a plain service.
+        pub first_token: u64,
+        /// Target between two tokens.
+        pub between_tokens: u64,
+        /// Time after which an answer is of no use.
+        pub deadline: u64,
+        /// Longest queue of the class on one instance, in requests.
+        pub queue: u32,
+        /// Weight against other classes of the same tier.
+        pub weight: u32,
+        /// Guaranteed fraction of each service the class uses.
+        pub share: f64,
+        /// Retries allowed for each request served, as a ratio.
+        pub retry_ratio: f64,
+        /// Attempts for one request at most.
+        pub attempts: u32,
+    }
+
+    /// Who made the document and from which version.
+    pub struct Meta {
+        /// Version that the document was edited from; 0 for the first.
+        pub base: u64,
+        /// Operator who wrote it.
+        pub author: String,
+        /// Operator who reviewed it.
+        pub reviewer: String,
+        /// Why it was made.
+        pub reason: String,
+    }
+
+    /// A request class.
+    pub struct Class {
+        /// Order of its tier; 0 is the most urgent.
+        pub tier: u8,
+        /// False when a request must run at most once.
+        pub idempotent: bool,
+        /// True when lower tiers can never displace it.
+        pub protected: bool,
+        /// Its numbers, with the defaults filled in.
+        pub params: Params,
+    }
+
+    /// A pool of endpoints.
+    pub struct Service {
+        /// What its endpoints speak.
+        pub kind: Kind,
+        /// Requests that one endpoint runs at a time.
+        pub slots: u32,
+        /// Models served; empty for a plain service.
+        pub models: Vec<String>,
+        /// Class of calls with a safe method.
+        pub read_class: String,
+        /// Class of calls with any other method.
+        pub write_class: String,
+    }
+
+    /// A workspace of callers.
+    pub struct Workspace {
+        /// SHA-256 of its bearer token, in hex.
+        pub token: String,
+        /// Class of chat requests that name none.
+        pub class: String,
+        /// Requests that may run at once in the whole fleet; 0 for no limit.
+        pub running: u32,
+    }
+
+    /// An exception from the defaults, for a workspace, a class, a domain or a mix of them.
+    pub struct Exception {
+        /// Its name.
+        pub name: String,
+        /// Workspace it holds for; empty for all.
+        pub workspace: String,
+        /// Class it holds for; empty for all.
+        pub class: String,
+        /// Failure domain of the entry instance it holds for; empty for all.
+        pub domain: String,
+        /// Why it exists.
+        pub reason: String,
+        /// Operator who asked for it.
+        pub author: String,
+        /// Operator who reviewed it.
+        pub reviewer: String,
+        /// Time at which it lapses; 0 for never.
+        pub expires: Millis,
+        /// Keys and values that it sets.
+        pub sets: IndexMap<String, String>,
+    }
+
+    /// A whole valid document.
+    pub struct Fleet {
+        /// Origin of the document.
+        pub meta: Meta,
+        /// Crashes of distinct endpoints after which a content is quarantined.
+        pub crash_limit: u32,
+        /// How long a quarantine lasts, in milliseconds.
+        pub quarantine: u64,
+        /// How long the key of a non-idempotent request is remembered, in milliseconds.
+        pub claim_window: u64,
+        /// Tier names by order.
+        pub tiers: Vec<String>,
+        /// Classes by name.
+        pub classes: IndexMap<String, Class>,
+        /// Services by name.
+        pub services: IndexMap<String, Service>,
+        /// Workspaces by name.
+        pub workspaces: IndexMap<String, Workspace>,
+        /// Exceptions in the order of the document.
+        pub exceptions: Vec<Exception>,
+    }
+}
+
+closed! {
+    /// What the endpoints of a service speak.
+    pub enum Kind {
+        /// Model engine: streamed tokens, priorities, cancel, resume.
+        Engine,
+        /// Plain request and response.
+        Plain,
+    }
+}
+
+impl Default for Params {
+    fn default() -> Self {
+        Self {
+            first_token: 1_900,
+            between_tokens: 30,
+            deadline: 60_000,
+            queue: 200,
+            weight: 1,
+            share: 0.02,
+            retry_ratio: 0.1,
+            attempts: 3,
+        }
+    }
+}
+
+impl Params {
+    /// Keys that may be set, in the order of the documentation.
+    pub const KEYS: [&'static str; 8] = [
+        "first_token",
+        "between_tokens",
+        "deadline",
+        "queue",
+        "weight",
+        "share",
+        "retry_ratio",
+        "attempts",
+    ];
+
+    /// Sets one key from its text.
+    pub fn set(&mut self, key: &str, text: &str) -> Result<(), String> {
+        match key {
+            "first_token" => self.first_token = span(text)?,
+            "between_tokens" => self.between_tokens = span(text)?,
+            "deadline" => self.deadline = span(text)?,
+            "queue" => self.queue = number(text)?,
+            "weight" => self.weight = number(text)?,
+            "share" => self.share = fraction(text)?,
+            "retry_ratio" => self.retry_ratio = fraction(text)?,
+            "attempts" => self.attempts = number(text)?,
+            _ => return Err("unknown key".to_owned()),
+        }
+        Ok(())
+    }
+}
+
+fn span(text: &str) -> Result<u64, String> {
+    let Span(ms) = text
+        .parse()
+        .map_err(|e| format!("bad duration `{text}`: {e}"))?;
+    if ms == 0 {
+        return Err("must be longer than zero".to_owned());
+    }
+    Ok(ms)
+}
+
+fn number(text: &str) -> Result<u32, String> {
+    match text.parse() {
+        Ok(0) => Err("must be at least 1".to_owned()),
+        Ok(n) => Ok(n),
+        Err(e) => Err(format!("bad number `{text}`: {e}")),
+    }
+}
+
+fn fraction(text: &str) -> Result<f64, String> {
+    match text.parse::<f64>() {
+        Ok(f) if (0.0..=1.0).contains(&f) => Ok(f),
+        Ok(_) => Err(format!("`{text}` is not between 0 and 1")),
+        Err(e) => Err(format!("bad number `{text}`: {e}")),
+    }
+}
+
+/// Hex SHA-256 of a bearer token, as a configuration holds it.
+pub fn token_hash(token: &str) -> String {
+    Sha256::digest(token.as_bytes())
+        .iter()
+        .map(|b| format!("{b:02x}"))
+        .collect()
+}
+
+impl Fleet {
+    /// Reads and validates a document. The same text gives the same result on every instance.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        let mut out = Findings::new(file);
+        let sections = ini::parse(text, &mut out);
+        let fleet = Reader {
+            sections: &sections,
+            out: &mut out,
+        }
+        .fleet();
+        out.finish(fleet)
+    }
+
+    /// Numbers in force for a request, and the names of the exceptions applied.
+    pub fn params(
+        &self,
+        class: &str,
+        workspace: &str,
+        domain: &str,
+        now: Millis,
+    ) -> (Params, Vec<&str>) {
+        let mut params = self
+            .classes
+            .get(class)
+            .map_or_else(Params::default, |c| c.params);
+        let mut names = Vec::new();
+        for e in &self.exceptions {
+            if e.covers(class, workspace, domain, now) {
+                e.apply(&mut params);
+                names.push(e.name.as_str());
+            }
+        }
+        (params, names)
+    }
+
+    /// Workspace that owns the bearer token.
+    pub fn workspace_of(&self, token: &str) -> Option<(&str, &Workspace)> {
+        let hash = token_hash(token);
+        let found = self.workspaces.iter().find(|(_, w)| w.token == hash);
+        found.map(|(name, w)| (name.as_str(), w))
+    }
+
+    /// Service that serves `model`.
+    pub fn service_of(&self, model: &str) -> Option<(&str, &Service)> {
+        let found = self
+            .services
+            .iter()
+            .find(|(_, s)| s.models.iter().any(|m| m == model));
+        found.map(|(name, s)| (name.as_str(), s))
+    }
+}
+
+impl Exception {
+    fn covers(&self, class: &str, workspace: &str, domain: &str, now: Millis) -> bool {
+        let fits = |want: &str, have: &str| want.is_empty() || want == have;
+        fits(&self.class, class)
+            && fits(&self.workspace, workspace)
+            && fits(&self.domain, domain)
+            && (self.expires == 0 || now < self.expires)
+    }
+
+    fn apply(&self, params: &mut Params) {
+        for (key, text) in &self.sets {
+            if params.set(key, text).is_err() {
+                tracing::error!("config: exception {} has a bad {key}.", self.name);
+            }
+        }
+    }
+}
+
+/// Joins the sections of one document; every problem goes to `out`.
+struct Reader<'a> {
+    sections: &'a [Section],
+    out: &'a mut Findings,
+}
+
+impl<'a> Reader<'a> {
+    fn of(&self, kind: &'static str) -> impl Iterator<Item = &'a Section> + use<'a> {
+        self.sections.iter().filter(move |s| s.kind == kind)
+    }
+
+    fn fleet(&mut self) -> Fleet {
+        let (meta, defaults, limits) = self.globals();
+        let tiers = self.tiers();
+        let classes = self.classes(&tiers, defaults);
+        let services = self.services(&classes);
+        let workspaces = self.workspaces(&classes);
+        let mut fleet = Fleet {
+            meta,
+            crash_limit: limits.crashes,
+            quarantine: limits.quarantine,
+            claim_window: limits.window,
+            tiers,
+            classes,
+            services,
+            workspaces,
+            exceptions: Vec::new(),
+        };
+        self.exceptions(&mut fleet);
+        self.shares(&fleet);
+        self.strays();
+        fleet
+    }
+
+    fn strays(&mut self) {
+        const KINDS: [&str; 7] = [
+            "fleet",
+            "defaults",
+            "tier",
+            "class",
+            "service",
+            "workspace",
+            "exception",
+        ];
+        for s in self.sections {
+            if !KINDS.contains(&s.kind.as_str()) {
+                self.out.add(s.line, &s.title(), "unknown section");
+                continue;
+            }
+            s.rest(self.out);
+        }
+    }
+
+    fn globals(&mut self) -> (Meta, Params, Limits) {
+        let mut meta = Meta {
+            base: 0,
+            author: String::new(),
+            reviewer: String::new(),
+            reason: String::new(),
+        };
+        match self.of("fleet").next() {
+            Some(s) => {
+                meta.base = s.read("base", self.out).unwrap_or(0);
+                meta.author = s.need("author", self.out);
+                meta.reviewer = s.need("reviewer", self.out);
+                meta.reason = s.need("reason", self.out);
+                self.reviewed(s, &meta.author, &meta.reviewer);
+            }
+            None => self.out.add(0, "fleet", "section [fleet] is missing"),
+        }
+        let mut params = Params::default();
+        let mut limits = Limits::default();
+        if let Some(s) = self.of("defaults").next() {
+            self.params(s, &mut params);
+            if let Some(n) = s.read("crash_limit", self.out) {
+                limits.crashes = n;
+            }
+            if let Some(Span(ms)) = s.read("quarantine", self.out) {
+                limits.quarantine = ms;
+            }
+            if let Some(Span(ms)) = s.read("claim_window", self.out) {
+                limits.window = ms;
+            }
+            if limits.crashes == 0 {
+                self.out.add(
+                    s.line_of("crash_limit"),
+                    "crash_limit",
+                    "must be at least 1",
+                );
+            }
+        }
+        (meta, params, limits)
+    }
+
+    fn reviewed(&mut self, s: &Section, author: &str, reviewer: &str) {
+        if !author.is_empty() && author == reviewer {
+            self.out.add(
+                s.line_of("reviewer"),
+                "reviewer",
+                "author and reviewer are the same",
+            );
+        }
+    }
+
+    fn params(&mut self, s: &Section, params: &mut Params) {
+        for key in Params::KEYS {
+            let Some(value) = s.get(key) else { continue };
+            if let Err(text) = params.set(key, &value.text) {
+                self.out.add(value.line, key, text);
+            }
+        }
+        if params.first_token > params.deadline {
+            self.out
+                .add(s.line, "first_token", "target is later than the deadline");
+        }
+    }
+
+    fn tiers(&mut self) -> Vec<String> {
+        let mut list: Vec<(u8, String)> = Vec::new();
+        for s in self.of("tier") {
+            let Some(order) = s.read::<u8>("order", self.out) else {
+                if s.get("order").is_none() {
+                    self.out
+                        .add(s.line, "order", format!("missing in [{}]", s.title()));
+                }
+                continue;
+            };
+            if list.iter().any(|(o, _)| *o == order) {
+                self.out
+                    .add(s.line_of("order"), "order", "another tier has this order");
+            }
+            list.push((order, s.name.clone()));
+        }
+        list.sort();
+        if list.is_empty() || list.len() > MAX_TIERS {
+            self.out
+                .add(0, "tier", format!("1 to {MAX_TIERS} tiers are needed"));
+        }
+        for (i, (order, name)) in list.iter().enumerate() {
+            if usize::from(*order) != i {
+                self.out.add(
+                    0,
+                    name,
+                    format!("tier orders must run from 0; {order} leaves a gap"),
+                );
+            }
+        }
+        list.into_iter().map(|(_, name)| name).collect()
+    }
+
+    fn classes(&mut self, tiers: &[String], defaults: Params) -> IndexMap<String, Class> {
+        let mut map = IndexMap::new();
+        for s in self.of("class") {
+            let tier = s.need("tier", self.out);
+            let order = tiers.iter().position(|t| *t == tier);
+            if order.is_none() && !tier.is_empty() {
+                self.out.add(
+                    s.line_of("tier"),
+                    "tier",
+                    format!("no tier is called `{tier}`"),
+                );
+            }
+            let mut params = defaults;
+            self.params(s, &mut params);
+            let yes = |key: &str, or: bool, out: &mut Findings| {
+                s.read::<YesNo>(key, out).map_or(or, |y| y.0)
+            };
+            let class = Class {
+                tier: order.unwrap_or(0) as u8,
+                idempotent: yes("idempotent", true, self.out),
+                protected: yes("protected", false, self.out),
+                params,
+            };
+            if class.protected && tiers.len() > 1 && usize::from(class.tier) + 1 == tiers.len() {
+                let text = "a protected class can't stand in the last tier";
+                self.out.add(s.line_of("protected"), "protected", text);
+            }
+            map.insert(s.name.clone(), class);
+        }
+        if map.is_empty() {
+            self.out.add(0, "class", "no class is defined");
+        }
+        map
+    }
+
+    fn class_ref(&mut self, s: &Section, key: &str, classes: &IndexMap<String, Class>) -> String {
+        let name = s.need(key, self.out);
+        if !name.is_empty() && !classes.contains_key(&name) {
+            self.out
+                .add(s.line_of(key), key, format!("no class is called `{name}`"));
+        }
+        name
+    }
+
+    fn services(&mut self, classes: &IndexMap<String, Class>) -> IndexMap<String, Service> {
+        let mut map: IndexMap<String, Service> = IndexMap::new();
+        for s in self.of("service") {
+            let kind = match s.need("kind", self.out).as_str() {
+                "engine" => Kind::Engine,
+                "plain" => Kind::Plain,
+                "" => Kind::Plain,
+                other => {
+                    let text = format!("`{other}` is neither engine nor plain");
+                    self.out.add(s.line_of("kind"), "kind", text);
+                    Kind::Plain
+                }
+            };
+            let slots = s.read("slots", self.out).unwrap_or(1);
+            if slots == 0 {
+                self.out
+                    .add(s.line_of("slots"), "slots", "must be at least 1");
+            }
+            let models = s.words("models");
+            let mut service = Service {
+                kind,
+                slots,
+                models,
+                read_class: String::new(),
+                write_class: String::new(),
+            };
+            match kind {
+                Kind::Engine if service.models.is_empty() => {
+                    self.out
+                        .add(s.line, "models", "an engine service needs models");
+                }
+                Kind::Engine => {}
+                Kind::Plain => {
+                    service.read_class = self.class_ref(s, "read_class", classes);
+                    service.write_class = self.class_ref(s, "write_class", classes);
+                }
+            }
+            for (name, other) in &map {
+                if let Some(model) = service.models.iter().find(|m| other.models.contains(m)) {
+                    let text = format!("model `{model}` is served by `{name}` already");
+                    self.out.add(s.line_of("models"), "models", text);
+                }
+            }
+            map.insert(s.name.clone(), service);
+        }
+        if map.is_empty() {
+            self.out.add(0, "service", "no service is defined");
+        }
+        map
+    }
+
+    fn workspaces(&mut self, classes: &IndexMap<String, Class>) -> IndexMap<String, Workspace> {
+        let mut map: IndexMap<String, Workspace> = IndexMap::new();
+        for s in self.of("workspace") {
+            let text = s.need("token", self.out);
+            let hash = text.strip_prefix(HASH_PREFIX).unwrap_or("");
+            let is_hex = hash.bytes().all(|b| b.is_ascii_hexdigit());
+            if !text.is_empty() && (hash.len() != HASH_HEX_LEN || !is_hex) {
+                let text = "expected `sha256:` and 64 hex digits, not the token itself";
+                self.out.add(s.line_of("token"), "token", text);
+            }
+            let token = hash.to_ascii_lowercase();
+            let twin = map
+                .iter()
+                .find(|(_, w)| w.token == token && !token.is_empty());
+            if let Some((name, _)) = twin {
+                let text = format!("workspace `{name}` has the same token");
+                self.out.add(s.line_of("token"), "token", text);
+            }
+            let class = self.class_ref(s, "class", classes);
+            let running = s.read("running", self.out).unwrap_or(0);
+            map.insert(
+                s.name.clone(),
+                Workspace {
+                    token,
+                    class,
+                    running,
+                },
+            );
+        }
+        map
+    }
+
+    fn exceptions(&mut self, fleet: &mut Fleet) {
+        for s in self.of("exception") {
+            let exception = self.exception(s, fleet);
+            fleet.exceptions.push(exception);
+        }
+    }
+
+    fn exception(&mut self, s: &Section, fleet: &Fleet) -> Exception {
+        let text = |key: &str| s.get(key).map_or(String::new(), |v| v.text.clone());
+        let mut e = Exception {
+            name: s.name.clone(),
+            workspace: text("workspace"),
+            class: text("class"),
+            domain: text("domain"),
+            reason: s.need("reason", self.out),
+            author: s.need("author", self.out),
+            reviewer: s.need("reviewer", self.out),
+            expires: 0,
+            sets: IndexMap::new(),
+        };
+        self.reviewed(s, &e.author, &e.reviewer);
+        if e.workspace.is_empty() && e.class.is_empty() && e.domain.is_empty() {
+            self.out
+                .add(s.line, "class", "names no workspace, class or domain");
+        }
+        if !e.class.is_empty() && !fleet.classes.contains_key(&e.class) {
+            let text = format!("no class is called `{}`", e.class);
+            self.out.add(s.line_of("class"), "class", text);
+        }
+        if !e.workspace.is_empty() && !fleet.workspaces.contains_key(&e.workspace) {
+            let text = format!("no workspace is called `{}`", e.workspace);
+            self.out.add(s.line_of("workspace"), "workspace", text);
+        }
+        if let Some(value) = s.get("expires") {
+            match humantime::parse_rfc3339_weak(&value.text) {
+                Ok(t) => {
+                    e.expires = t
+                        .duration_since(std::time::UNIX_EPOCH)
+                        .map_or(0, |d| d.as_millis() as u64)
+                }
+                Err(err) => self
+                    .out
+                    .add(value.line, "expires", format!("bad time: {err}")),
+            }
+        }
+        self.sets(s, fleet, &mut e);
+        e
+    }
+
+    fn sets(&mut self, s: &Section, fleet: &Fleet, e: &mut Exception) {
+        let mut probe = Params::default();
+        for key in Params::KEYS {
+            let Some(value) = s.get(key) else { continue };
+            if key == "share" || key == "weight" || key == "queue" {
+                let text = "holds for a whole class and can't be set by an exception";
+                self.out.add(value.line, key, text);
+                continue;
+            }
+            match probe.set(key, &value.text) {
+                Ok(()) => {
+                    e.sets.insert(key.to_owned(), value.text.clone());
+                }
+                Err(text) => self.out.add(value.line, key, text),
+            }
+        }
+        let covered = fleet
+            .classes
+            .iter()
+            .filter(|(n, _)| e.class.is_empty() || e.class == **n);
+        let mut changes = false;
+        for (name, class) in covered {
+            let mut after = class.params;
+            e.apply(&mut after);
+            changes |= after != class.params;
+            if after.first_token > after.deadline {
+                let text =
+                    format!("first_token of class `{name}` would be later than its deadline");
+                self.out.add(s.line, &s.title(), text);
+            }
+        }
+        if !changes {
+            self.out.add(s.line, &s.title(), "changes nothing");
+        }
+    }
+
+    fn shares(&mut self, fleet: &Fleet) {
+        let sum: f64 = fleet.classes.values().map(|c| c.params.share).sum();
+        if sum > MAX_SHARES {
+            let text = format!("guaranteed shares add up to {sum:.2}, more than {MAX_SHARES}");
+            self.out.add(0, "share", text);
+        }
+        let starved = fleet.classes.iter().find(|(_, c)| c.params.share <= 0.0);
+        if let Some((name, _)) = starved {
+            self.out.add(
+                0,
+                "share",
+                format!("class `{name}` has no guaranteed share"),
+            );
+        }
+    }
+}
+
+/// Fleet-wide limits of `[defaults]`.
+struct Limits {
+    crashes: u32,
+    quarantine: u64,
+    window: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            crashes: 3,
+            quarantine: 600_000,
+            window: 3_600_000,
+        }
+    }
+}
--- /dev/null
+++ b/src/config/ini.rs
@@ -0,0 +1,195 @@
+//! INI reader that keeps line numbers, so that every finding has its place.
+
+use std::cell::RefCell;
+use std::fmt::Display;
+use std::str::FromStr;
+
+use indexmap::{IndexMap, IndexSet};
+
+use super::findings::Findings;
+
+/// A value and the line it stands on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Value {
+    /// Text after the `=`, trimmed.
+    pub text: String,
+    /// Line number from 1.
+    pub line: usize,
+}
+
+/// One `[kind name]` section.
+#[derive(Debug, Default)]
+pub struct Section {
+    /// First word of the heading.
+    pub kind: String,
+    /// Rest of the heading; empty for `[kind]`.
+    pub name: String,
+    /// Line number of the heading.
+    pub line: usize,
+    /// Keys in the order of the file.
+    pub pairs: IndexMap<String, Value>,
+    used: RefCell<IndexSet<String>>,
+}
+
+/// Parses `text`. Problems are added to `out`; what could be read is returned.
+pub fn parse(text: &str, out: &mut Findings) -> Vec<Section> {
+    let mut list: Vec<Section> = Vec::new();
+    for (i, raw) in text.lines().enumerate() {
+        let line = i + 1;
+        let row = raw.trim();
+        if row.is_empty() || row.starts_with([';', '#']) {
+            continue;
+        }
+        if let Some(head) = row.strip_prefix('[') {
+            heading(head, line, &mut list, out);
+            continue;
+        }
+        pair(row, line, &mut list, out);
+    }
+    list
+}
+
+fn heading(head: &str, line: usize, list: &mut Vec<Section>, out: &mut Findings) {
+    let Some(head) = head.strip_suffix(']') else {
+        out.add(line, head, "section heading has no closing bracket");
+        return;
+    };
+    let (kind, name) = head
+        .trim()
+        .split_once(char::is_whitespace)
+        .unwrap_or((head.trim(), ""));
+    let (kind, name) = (kind.to_owned(), name.trim().to_owned());
+    if list.iter().any(|s| s.kind == kind && s.name == name) {
+        out.add(line, head, "section stands twice");
+    }
+    list.push(Section {
+        kind,
+        name,
+        line,
+        ..Section::default()
+    });
+}
+
+fn pair(row: &str, line: usize, list: &mut [Section], out: &mut Findings) {
+    let Some((key, text)) = row.split_once('=') else {
+        out.add(line, row, "expected `key = value`");
+        return;
+    };
+    let key = key.trim();
+    let Some(section) = list.last_mut() else {
+        out.add(line, key, "key stands before the first section");
+        return;
+    };
+    let value = Value {
+        text: text.trim().to_owned(),
+        line,
+    };
+    if let Some(old) = section.pairs.insert(key.to_owned(), value) {
+        out.add(
+            line,
+            key,
+            format!("key was set before on line {}", old.line),
+        );
+    }
+}
+
+impl Section {
+    /// Heading as written: `kind name`.
+    pub fn title(&self) -> String {
+        format!("{} {}", self.kind, self.name).trim().to_owned()
+    }
+
+    /// Marks `key` as known and returns its value.
+    pub fn get(&self, key: &str) -> Option<&Value> {
+        self.used.borrow_mut().insert(key.to_owned());
+        self.pairs.get(key)
+    }
+
+    /// Reads an optional typed value; a bad one becomes a finding.
+    pub fn read<T>(&self, key: &str, out: &mut Findings) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let value = self.get(key)?;
+        match value.text.parse() {
+            Ok(v) => Some(v),
+            Err(e) => {
+                out.add(value.line, key, format!("bad value `{}`: {e}", value.text));
+                None
+            }
+        }
+    }
+
+    /// Reads a required text; a missing or empty one becomes a finding.
+    pub fn need(&self, key: &str, out: &mut Findings) -> String {
+        match self.get(key) {
+            Some(v) if !v.text.is_empty() => v.text.clone(),
+            Some(v) => {
+                out.add(v.line, key, "must not be empty");
+                String::new()
+            }
+            None => {
+                out.add(self.line, key, format!("missing in [{}]", self.title()));
+                String::new()
+            }
+        }
+    }
+
+    /// Reads a list of words separated by commas.
+    pub fn words(&self, key: &str) -> Vec<String> {
+        let text = self.get(key).map_or("", |v| v.text.as_str());
+        text.split(',')
+            .map(str::trim)
+            .filter(|w| !w.is_empty())
+            .map(str::to_owned)
+            .collect()
+    }
+
+    /// Line of `key`, or of the heading when the key is absent.
+    pub fn line_of(&self, key: &str) -> usize {
+        self.pairs.get(key).map_or(self.line, |v| v.line)
+    }
+
+    /// Reports every key that nobody asked for.
+    pub fn rest(&self, out: &mut Findings) {
+        let used = self.used.borrow();
+        for (key, value) in &self.pairs {
+            if !used.contains(key) {
+                out.add(
+                    value.line,
+                    key,
+                    format!("unknown key in [{}]", self.title()),
+                );
+            }
+        }
+    }
+}
+
+/// `yes` or `no`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct YesNo(pub bool);
+
+impl FromStr for YesNo {
+    type Err = &'static str;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        match s {
+            "yes" | "true" => Ok(Self(true)),
+            "no" | "false" => Ok(Self(false)),
+            _ => Err("expected yes or no"),
+        }
+    }
+}
+
+/// A duration such as `30ms` or `1s 900ms`, held in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Span(pub u64);
+
+impl FromStr for Span {
+    type Err = humantime::DurationError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        humantime::parse_duration(s).map(|d| Self(d.as_millis() as u64))
+    }
+}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,12 @@
+//! Configuration of the fleet and settings of one process.
+
+pub mod diff;
+pub mod findings;
+pub mod fleet;
+pub mod ini;
+pub mod settings;
+
+pub use diff::diff;
+pub use findings::{Finding, Findings};
+pub use fleet::{Class, Fleet, Kind, Params, Service, Workspace};
+pub use settings::{Settings, Strategy};
--- /dev/null
+++ b/src/config/settings.rs
@@ -0,0 +1,126 @@
+//! Settings of one entry instance, read and validated once at start.
+
+use std::net::SocketAddr;
+
+use super::findings::Findings;
+use super::ini::{self, Section, Span};
+
+closed! {
+    /// How an instance chooses work and endpoints. All but `ours` are baselines.
+    pub enum Strategy {
+        /// Priorities, shares, corrected load and affinity.
+        Ours,
+        /// Any endpoint, first come first served.
+        Random,
+        /// Least reported load, first come first served.
+        Least,
+    }
+}
+
+/// Settings of an entry instance. Durations are in milliseconds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Name of the instance, as in the instance list.
+    pub name: String,
+    /// Failure domain it stands in.
+    pub domain: String,
+    /// Address that callers use.
+    pub listen: SocketAddr,
+    /// Address that peers and operators use.
+    pub admin: SocketAddr,
+    /// Address of the log service.
+    pub log: SocketAddr,
+    /// Address of the instance list.
+    pub list: SocketAddr,
+    /// Log lines as JSON.
+    pub json: bool,
+    /// Policy in use.
+    pub strategy: Strategy,
+    /// Interval of exchanges with peers.
+    pub gossip: u64,
+    /// Interval of load reports.
+    pub poll: u64,
+    /// Time between the first sign of leaving and closing the listening socket.
+    pub linger: u64,
+    /// Longest time a graceful shutdown waits for requests in progress.
+    pub drain: u64,
+    /// Largest request body in bytes.
+    pub body_limit: usize,
+    /// Longest delay of the instance list.
+    pub list_lag: u64,
+}
+
+impl Settings {
+    /// Reads a settings file. `overrides` are `key=value` pairs from the command line.
+    pub fn parse(file: &str, text: &str, overrides: &[String]) -> Result<Self, Findings> {
+        let mut out = Findings::new(file);
+        let mut sections = ini::parse(text, &mut out);
+        let at = sections.iter().position(|s| s.kind == "entry");
+        let mut section = at.map(|i| sections.swap_remove(i)).unwrap_or_default();
+        if at.is_none() {
+            out.add(0, "entry", "section [entry] is missing");
+        }
+        for s in &sections {
+            out.add(s.line, &s.title(), "unknown section");
+        }
+        for pair in overrides {
+            match pair.split_once('=') {
+                Some((key, value)) => {
+                    let value = ini::Value {
+                        text: value.trim().to_owned(),
+                        line: 0,
+                    };
+                    section.pairs.insert(key.trim().to_owned(), value);
+                }
+                None => out.add(0, pair, "expected key=value"),
+            }
+        }
+        let settings = read(&section, &mut out);
+        section.rest(&mut out);
+        out.finish(settings)
+    }
+}
+
+fn read(s: &Section, out: &mut Findings) -> Settings {
+    let unset = SocketAddr::from(([127, 0, 0, 1], 0));
+    let addr = |key: &str, out: &mut Findings| {
+        let text = s.need(key, out);
+        if text.is_empty() {
+            return unset;
+        }
+        s.read(key, out).unwrap_or(unset)
+    };
+    let span = |key: &str, or: u64, out: &mut Findings| {
+        let ms = s.read::<Span>(key, out).map_or(or, |v| v.0);
+        if ms == 0 {
+            out.add(s.line_of(key), key, "must be longer than zero");
+        }
+        ms
+    };
+    let strategy = match s.get("strategy").map_or("ours", |v| v.text.as_str()) {
+        "ours" => Strategy::Ours,
+        "random" => Strategy::Random,
+        "least" => Strategy::Least,
+        other => {
+            let text = format!("`{other}` is none of ours, random, least");
+            out.add(s.line_of("strategy"), "strategy", text);
+            Strategy::Ours
+        }
+    };
+    Settings {
+        name: s.need("name", out),
+        domain: s.need("domain", out),
+        listen: addr("listen", out),
+        admin: addr("admin", out),
+        log: addr("log", out),
+        list: addr("list", out),
+        json: s.read::<ini::YesNo>("json", out).is_some_and(|y| y.0),
+        strategy,
+        gossip: span("gossip", 250, out),
+        poll: span("poll", 500, out),
+        linger: span("linger", 1_000, out),
+        drain: span("drain", 120_000, out),
+        body_limit: s.read("body_limit", out).unwrap_or(1 << 20),
+        list_lag: span("list_lag", 3_000, out),
+    }
+}
--- /dev/null
+++ b/src/entry/admin.rs
@@ -0,0 +1,189 @@
+//! The side for peers and operators, served by `rouille`.
+
+use std::io::{self, Read};
+use std::sync::Arc;
+use std::thread;
+
+use rouille::{Request, Response};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+
+use super::{Entry, gossip, lock};
+use crate::adapter::codec;
+use crate::fleet::peer::{KeyQuery, Snapshot, Word};
+
+/// Largest body taken, in bytes.
+const BODY_LIMIT: u64 = 8 << 20;
+
+/// Starts the server.
+pub fn start(entry: &Arc<Entry>) -> io::Result<()> {
+    let inner = Arc::clone(entry);
+    let server = rouille::Server::new(entry.settings.admin, move |r| handle(&inner, r))
+        .map_err(|e| io::Error::other(e.to_string()))?;
+    let (handle, stop) = server.stoppable();
+    let entry = Arc::clone(entry);
+    thread::spawn(move || {
+        while !entry.stopped() {
+            entry.clock.sleep(200);
+        }
+        stop.send(()).ok();
+        handle.join().ok();
+    });
+    Ok(())
+}
+
+fn handle(entry: &Arc<Entry>, request: &Request) -> Response {
+    let url = request.url();
+    match (request.method(), url.as_str()) {
+        ("POST", "/peer/word") => packed(request, |word: Word| {
+            gossip::hear(entry, &word);
+            gossip::word(entry)
+        }),
+        ("POST", "/peer/key") => packed(request, |query: KeyQuery| {
+            entry.key_news(query.key, query.wait)
+        }),
+        ("GET", "/peer/config") => {
+            let snapshot = Snapshot {
+                carry: lock(&entry.config).snapshot(),
+            };
+            Response::from_data(codec::MSGPACK, codec::pack(&snapshot))
+        }
+        ("GET", "/metrics") => {
+            Response::from_data("text/plain; version=0.0.4", entry.metrics.page())
+        }
+        ("GET", "/status") => Response::json(&status(entry)),
+        ("GET", "/config") => match entry.current() {
+            Some(c) => Response::json(&json!({
+                "version": c.version,
+                "author": c.author,
+                "text": c.text.as_ref(),
+            })),
+            None => Response::json(&json!({ "version": 0 })).with_status_code(404),
+        },
+        ("POST", "/release") => release(entry, request),
+        (_, path) if path.starts_with("/explain/") => {
+            explain(entry, &path["/explain/".len()..], request)
+        }
+        _ => Response::json(&json!({ "error": "no such path" })).with_status_code(404),
+    }
+}
+
+/// Answers a MessagePack value with another one.
+fn packed<Q: DeserializeOwned, A: Serialize>(
+    request: &Request,
+    answer: impl FnOnce(Q) -> A,
+) -> Response {
+    let mut body = Vec::new();
+    let read = request
+        .data()
+        .map(|data| data.take(BODY_LIMIT).read_to_end(&mut body));
+    if !matches!(read, Some(Ok(_))) {
+        return Response::text("no body").with_status_code(400);
+    }
+    match codec::unpack(&body) {
+        Ok(query) => Response::from_data(codec::MSGPACK, codec::pack(&answer(query))),
+        Err(e) => Response::text(e.to_string()).with_status_code(400),
+    }
+}
+
+fn release(entry: &Entry, request: &Request) -> Response {
+    let content = request
+        .get_param("content")
+        .and_then(|c| u64::from_str_radix(&c, 16).ok());
+    let who = request.get_param("who").unwrap_or_default();
+    match content {
+        Some(_) if who.is_empty() => {
+            Response::json(&json!({ "error": "who is missing" })).with_status_code(400)
+        }
+        Some(content) => Response::json(&json!({ "known": entry.release(content, &who) })),
+        None => Response::json(&json!({ "error": "content is not a hash" })).with_status_code(400),
+    }
+}
+
+/// What was decided for a request. Asks the instance that served it, where that is another.
+fn explain(entry: &Entry, id: &str, request: &Request) -> Response {
+    if let Some(trace) = entry.traces.find(id) {
+        return Response::json(&trace);
+    }
+    let boot = id.strip_prefix("req-").and_then(|r| r.get(..36));
+    let boot = boot.and_then(|b| uuid::Uuid::parse_str(b).ok());
+    let asked = request.get_param("hop").is_some();
+    let row = boot
+        .filter(|b| *b != entry.boot && !asked)
+        .and_then(|b| gossip::row_of(entry, b));
+    let Some(row) = row else {
+        let text = "no instance that is alive remembers this request";
+        return Response::json(&json!({ "error": text })).with_status_code(404);
+    };
+    let client = crate::adapter::http::Client::new(1_000);
+    match client.get(&format!("http://{}/explain/{id}?hop=1", row.admin)) {
+        Ok(body) => Response::from_data("application/json", body),
+        Err(e) => Response::json(&json!({ "error": e.to_string() })).with_status_code(404),
+    }
+}
+
+fn status(entry: &Entry) -> serde_json::Value {
+    let now = entry.now();
+    let peers: Vec<serde_json::Value> = entry
+        .peers
+        .all()
+        .iter()
+        .map(|(name, p)| {
+            json!({
+                "name": name,
+                "age_ms": now.saturating_sub(p.heard),
+                "version": p.version,
+                "leaving": p.leaving,
+            })
+        })
+        .collect();
+    let services: Vec<serde_json::Value> = entry
+        .all_halls()
+        .iter()
+        .map(|hall| {
+            hall.read(|pool| {
+                let endpoints: Vec<serde_json::Value> = pool
+                    .endpoints()
+                    .map(|e| {
+                        json!({
+                            "name": e.name,
+                            "health": format!("{:?}", e.health),
+                            "leaving": e.leaving,
+                            "own": e.running(),
+                            "reported": e.reported(),
+                            "silent": e.silent(now),
+                        })
+                    })
+                    .collect();
+                json!({
+                    "name": hall.name,
+                    "waiting": pool.waiting(),
+                    "running": pool.in_flight(),
+                    "endpoints": endpoints,
+                })
+            })
+        })
+        .collect();
+    let quarantine: Vec<serde_json::Value> = lock(&entry.suspects)
+        .held(now)
+        .iter()
+        .map(|(content, until)| {
+            json!({ "content": format!("{content:016x}"), "left_ms": until.saturating_sub(now) })
+        })
+        .collect();
+    json!({
+        "name": entry.settings.name,
+        "boot": entry.boot,
+        "domain": entry.settings.domain,
+        "ready": entry.ready(),
+        "leaving": entry.leaving(),
+        "version": lock(&entry.config).version(),
+        "known": lock(&entry.config).known(),
+        "log_age_ms": now.saturating_sub(entry.claims.fresh()),
+        "violations": crate::invariants::violations(),
+        "peers": peers,
+        "services": services,
+        "quarantine": quarantine,
+    })
+}
--- /dev/null
+++ b/src/entry/front.rs
@@ -0,0 +1,206 @@
+//! The callers' side: who asks for what, and where it goes.
+
+use std::sync::Arc;
+
+use serde_json::json;
+use uuid::Uuid;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
+
+use super::attempt::Order;
+use super::fail::Failure;
+use super::keyed::HOME;
+use super::trace::Trace;
+use super::{Entry, chat, plain};
+use crate::adapter::serve::{Reply, Request};
+use crate::config::Fleet;
+use crate::policy::claim::{Answer, Key};
+
+/// Header by which a caller names the class.
+pub const CLASS: &str = "x-sassafras-class";
+/// Header that marks a request passed on by another instance.
+pub const HOP: &str = "x-sassafras-hop";
+/// Header of a request's key.
+pub const KEY: &str = "idempotency-key";
+/// Longest key in bytes.
+const KEY_LIMIT: usize = 255;
+
+/// A caller's request on its way.
+pub struct Visit<'a> {
+    /// Instance.
+    pub entry: &'a Arc<Entry>,
+    /// Configuration in force when it came in.
+    pub fleet: Arc<Fleet>,
+    /// The request.
+    pub request: Request,
+    /// Request id.
+    pub id: String,
+    /// Workspace that asks.
+    pub workspace: String,
+    /// What was decided.
+    pub trace: Trace,
+}
+
+/// Serves one request of a caller.
+pub fn handle(entry: &Arc<Entry>, request: Request, reply: &mut Reply<'_>) {
+    match (request.method.as_str(), request.path.as_str()) {
+        ("GET", "/healthz") => return ok(reply, &json!({ "ok": true })),
+        ("GET", "/readyz") if entry.ready() => return ok(reply, &json!({ "ready": true })),
+        ("GET", "/readyz") => {
+            let failure = Failure::not_run(503, "not_ready", "this instance takes no new requests");
+            return failure.send("", reply);
+        }
+        _ => {}
+    }
+    let id = format!("req-{}-{}", entry.boot, entry.next_job());
+    if let Err(failure) = visit(entry, request, &id, reply) {
+        failure.send(&id, reply);
+    }
+}
+
+fn visit(
+    entry: &Arc<Entry>,
+    request: Request,
+    id: &str,
+    reply: &mut Reply<'_>,
+) -> Result<(), Failure> {
+    let Some(current) = entry.current() else {
+        let text = "this instance has no configuration yet";
+        return Err(Failure::not_run(503, "no_configuration", text).retry_after(1_000));
+    };
+    let token = request
+        .header("authorization")
+        .and_then(|v| v.strip_prefix("Bearer "));
+    let Some((workspace, _)) = token.and_then(|t| current.fleet.workspace_of(t.trim())) else {
+        let text = "the bearer token belongs to no workspace";
+        return Err(Failure::not_run(401, "unknown_token", text));
+    };
+    let workspace = workspace.to_owned();
+    let trace = Trace {
+        id: id.to_owned(),
+        instance: entry.settings.name.clone(),
+        at: entry.now(),
+        workspace: workspace.clone(),
+        version: current.version,
+        ..Trace::default()
+    };
+    let fleet = Arc::clone(&current.fleet);
+    let visit = Visit {
+        entry,
+        fleet,
+        request,
+        id: id.to_owned(),
+        workspace,
+        trace,
+    };
+    match (visit.request.method.as_str(), visit.request.path.as_str()) {
+        ("GET", "/v1/models") => {
+            ok(reply, &models(&visit.fleet));
+            Ok(())
+        }
+        ("POST", "/v1/keys") => {
+            let key = format!("{HOME}{}-{}", entry.boot, Uuid::now_v7());
+            ok(reply, &json!({ "key": key }));
+            Ok(())
+        }
+        ("POST", "/v1/chat/completions") => chat::serve(visit, reply),
+        (_, path) if path.starts_with("/svc/") => plain::serve(visit, reply),
+        (_, "/v1/models" | "/v1/keys" | "/v1/chat/completions") => Err(Failure::not_run(
+            405,
+            "bad_method",
+            "this path does not take this method",
+        )),
+        _ => Err(Failure::not_run(
+            404,
+            "unknown_path",
+            "there is nothing at this path",
+        )),
+    }
+}
+
+fn ok(reply: &mut Reply<'_>, value: &serde_json::Value) {
+    reply
+        .send(
+            200,
+            &[("content-type", "application/json")],
+            value.to_string().as_bytes(),
+        )
+        .ok();
+}
+
+fn models(fleet: &Fleet) -> serde_json::Value {
+    let rows: Vec<serde_json::Value> = fleet
+        .services
+        .values()
+        .flat_map(|s| &s.models)
+        .map(|m| json!({ "id": m, "object": "model", "owned_by": "sassafrasworks" }))
+        .collect();
+    json!({ "object": "list", "data": rows })
+}
+
+impl Visit<'_> {
+    /// Class of the request: as its header names it, else `or`.
+    pub fn class(&self, or: &str) -> Result<String, Failure> {
+        let name = self.request.header(CLASS).unwrap_or(or);
+        if !self.fleet.classes.contains_key(name) {
+            let text = format!("no class is called `{name}`");
+            return Err(Failure::not_run(400, "unknown_class", text));
+        }
+        Ok(name.to_owned())
+    }
+
+    /// The order for a request of this class to this service.
+    pub fn order(&mut self, service: &str, class: &str, content: u64, prefix: u64) -> Order {
+        let (params, exceptions) = self.fleet.params(
+            class,
+            &self.workspace,
+            &self.entry.settings.domain,
+            self.trace.at,
+        );
+        self.trace.class = class.to_owned();
+        self.trace.service = service.to_owned();
+        self.trace.exceptions = exceptions.into_iter().map(str::to_owned).collect();
+        Order {
+            id: self.id.clone(),
+            workspace: self.workspace.clone(),
+            class: class.to_owned(),
+            service: service.to_owned(),
+            params,
+            content,
+            prefix,
+            arrived: self.trace.at,
+            once: !self.fleet.classes[class].idempotent,
+        }
+    }
+
+    /// Key of the request and its hash, if the caller gave one.
+    pub fn key(&self, service: &str) -> Result<Option<(String, Key)>, Failure> {
+        let Some(text) = self.request.header(KEY) else {
+            return Ok(None);
+        };
+        if text.is_empty() || text.len() > KEY_LIMIT {
+            let text = format!("the idempotency key must have 1 to {KEY_LIMIT} bytes");
+            return Err(Failure::not_run(400, "bad_key", text));
+        }
+        let hash = xxh3_128(format!("{}\n{service}\n{text}", self.workspace).as_bytes());
+        Ok(Some((text.to_owned(), hash)))
+    }
+
+    /// Hash that tells one request from another under the same key.
+    pub fn digest(&self) -> u64 {
+        let r = &self.request;
+        let mut bytes = format!("{} {}?{}\n", r.method, r.path, r.query).into_bytes();
+        bytes.extend_from_slice(&r.body);
+        xxh3_64(&bytes)
+    }
+
+    /// Sends a kept or plain answer.
+    pub fn send(&self, answer: &Answer, reply: &mut Reply<'_>) {
+        let mut headers: Vec<(&str, &str)> = answer
+            .headers
+            .iter()
+            .map(|(n, v)| (n.as_str(), v.as_str()))
+            .collect();
+        headers.push(("x-request-id", &self.id));
+        reply.send(answer.status, &headers, &answer.body).ok();
+    }
+}
--- /dev/null
+++ b/src/entry/hall.rs
@@ -0,0 +1,163 @@
+//! Requests waiting on one service: joins the pool's decisions to the threads that wait.
+
+use std::sync::Mutex;
+use std::sync::mpsc::{self, RecvTimeoutError, SyncSender};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::lock;
+use crate::adapter::clock::{Clock, Millis};
+use crate::config::Strategy;
+use crate::policy::pool::{Arrival, Grant, Outcome, Pool, Step};
+use crate::policy::{Job, JobId, Refusal};
+
+/// How often a waiting request looks whether its caller is still there.
+const LOOK: Duration = Duration::from_millis(100);
+/// Interval of slow decisions, in milliseconds.
+const SLOW_TICK: u64 = 200;
+
+/// How a wait ended.
+#[derive(Debug)]
+pub enum Waited {
+    /// The request may be sent.
+    Granted(Grant),
+    /// It must not be run.
+    Refused(Refusal),
+    /// Nobody wants it any more.
+    Unwanted,
+}
+
+struct Inner {
+    pool: Pool,
+    seats: IndexMap<JobId, SyncSender<Step>>,
+    ticked: Millis,
+}
+
+/// One service's queue on this instance.
+pub struct Hall {
+    /// Name of the service.
+    pub name: String,
+    inner: Mutex<Inner>,
+}
+
+impl Hall {
+    /// An empty hall.
+    pub fn new(name: &str, me: u64, domain: &str, strategy: Strategy, seed: u64) -> Self {
+        let pool = Pool::new(me, domain, strategy, seed);
+        let inner = Inner {
+            pool,
+            seats: IndexMap::new(),
+            ticked: 0,
+        };
+        Self {
+            name: name.to_owned(),
+            inner: Mutex::new(inner),
+        }
+    }
+
+    /// Changes or reads the pool, then acts on what follows.
+    pub fn with<T>(&self, now: Millis, body: impl FnOnce(&mut Pool) -> T) -> T {
+        let mut inner = lock(&self.inner);
+        let out = body(&mut inner.pool);
+        pump(&mut inner, now);
+        out
+    }
+
+    /// Reads the pool.
+    pub fn read<T>(&self, body: impl FnOnce(&Pool) -> T) -> T {
+        body(&lock(&self.inner).pool)
+    }
+
+    /// Time passed.
+    pub fn tick(&self, now: Millis) {
+        let mut inner = lock(&self.inner);
+        if now >= inner.ticked + SLOW_TICK {
+            inner.ticked = now;
+            inner.pool.tick(now);
+        }
+        pump(&mut inner, now);
+    }
+
+    /// True while requests wait or run.
+    pub fn busy(&self) -> bool {
+        self.read(|pool| pool.waiting() + pool.in_flight() > 0)
+    }
+
+    /// Waits until the job may run, is refused, or `unwanted` says that nobody waits for it.
+    pub fn wait(&self, clock: &Clock, job: Job, unwanted: &dyn Fn() -> bool) -> Waited {
+        let id = job.id;
+        let (sender, receiver) = mpsc::sync_channel(1);
+        {
+            let mut inner = lock(&self.inner);
+            let now = clock.now();
+            inner.seats.insert(id, sender);
+            match inner.pool.arrive(now, job) {
+                Arrival::Queued => {}
+                Arrival::Refused(why) => {
+                    inner.seats.swap_remove(&id);
+                    return Waited::Refused(why);
+                }
+                Arrival::Displaced(gone) => {
+                    tell(&mut inner, gone, Step::Refuse(gone, Refusal::QueueFull));
+                }
+            }
+            pump(&mut inner, now);
+        }
+        loop {
+            match receiver.recv_timeout(LOOK) {
+                Ok(Step::Grant(grant)) => return Waited::Granted(grant),
+                Ok(Step::Refuse(_, why)) => return Waited::Refused(why),
+                Ok(Step::Wait) | Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => {
+                    return Waited::Refused(Refusal::NoEndpoint);
+                }
+            }
+            if unwanted() && self.withdraw(clock.now(), id) {
+                return Waited::Unwanted;
+            }
+        }
+    }
+
+    /// Takes a job out of the queue; ends it if it was granted in the meantime.
+    fn withdraw(&self, now: Millis, id: JobId) -> bool {
+        let mut inner = lock(&self.inner);
+        let seated = inner.seats.swap_remove(&id).is_some();
+        if !inner.pool.cancel(id) && !seated {
+            inner.pool.done(now, id, Outcome::Neutral);
+        }
+        pump(&mut inner, now);
+        true
+    }
+
+    /// A granted job ended.
+    pub fn done(&self, now: Millis, job: JobId, outcome: Outcome) {
+        self.with(now, |pool| pool.done(now, job, outcome));
+    }
+}
+
+fn pump(inner: &mut Inner, now: Millis) {
+    loop {
+        let step = inner.pool.next(now);
+        match &step {
+            Step::Wait => return,
+            Step::Grant(grant) => {
+                let id = grant.job;
+                if !tell(inner, id, step) {
+                    inner.pool.done(now, id, Outcome::Neutral);
+                }
+            }
+            Step::Refuse(id, _) => {
+                let id = *id;
+                tell(inner, id, step);
+            }
+        }
+    }
+}
+
+fn tell(inner: &mut Inner, id: JobId, step: Step) -> bool {
+    inner
+        .seats
+        .swap_remove(&id)
+        .is_some_and(|seat| seat.send(step).is_ok())
+}
--- /dev/null
+++ b/src/entry/keyed.rs
@@ -0,0 +1,569 @@
+//! Non-idempotent requests: each key runs at most once, whoever gets it and whatever fails.
+//!
+//! A request is sent only by the instance whose claim is first on the log, after it has read
+//! its own claim there. Everybody else waits for the answer or says that nobody knows.
+
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use uuid::Uuid;
+
+use super::fail::{Failure, Ran};
+use super::journal::{Appended, Batch};
+use super::{Entry, gossip, lock};
+use crate::adapter::clock::Millis;
+use crate::adapter::log::Page;
+use crate::fleet::peer::KeyNews;
+use crate::policy::claim::{Answer, Claim, Holder, Key, KeyAge, Op, Seat, State, Table, key_age};
+
+/// Longest wait for a claim to be decided, in milliseconds.
+const CLAIM_WAIT: u64 = 3_000;
+/// How often a waiting request looks around, in milliseconds.
+const LOOK: u64 = 100;
+/// Largest answer that is kept on the log, in bytes.
+pub const ANSWER_LIMIT: usize = 256 << 10;
+/// Pause advised to callers when the log is away, in milliseconds.
+const LOG_RETRY: u64 = 2_000;
+/// Part of the log's retention that claims may rely on.
+const RETENTION_PART: f64 = 0.8;
+/// How long a claimant must be unheard before its request's outcome counts as unknown.
+const CLAIMANT_GRACE: u64 = 1_500;
+/// Start of a key that this fleet issued.
+pub const HOME: &str = "home-";
+
+/// What a request with a key came to.
+pub type Ended = Result<Answer, Failure>;
+
+#[derive(Debug, Clone)]
+enum CellState {
+    Running,
+    Done(Answer),
+    Lost,
+    NotSent(Failure),
+}
+
+/// A key that this instance has taken.
+#[derive(Debug)]
+struct Cell {
+    digest: u64,
+    born: Millis,
+    state: Mutex<CellState>,
+    changed: Condvar,
+}
+
+impl Cell {
+    fn set(&self, state: CellState) {
+        *lock(&self.state) = state;
+        self.changed.notify_all();
+    }
+
+    fn get(&self) -> CellState {
+        lock(&self.state).clone()
+    }
+
+    fn wait(&self, ms: u64) -> CellState {
+        let state = lock(&self.state);
+        if !matches!(*state, CellState::Running) {
+            return state.clone();
+        }
+        let waited = self.changed.wait_timeout(state, Duration::from_millis(ms));
+        waited.unwrap_or_else(PoisonError::into_inner).0.clone()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    table: Table,
+    next: u64,
+    /// Clock time at which the stream was last read to its end.
+    fresh: Millis,
+    /// Log time minus clock time.
+    skew: i64,
+    retention: u64,
+    given_up: IndexMap<Uuid, Millis>,
+}
+
+/// Claims as folded from the log, and the keys taken here.
+#[derive(Debug, Default)]
+pub struct Claims {
+    inner: Mutex<Inner>,
+    moved: Condvar,
+    cells: Mutex<IndexMap<Key, Arc<Cell>>>,
+}
+
+impl Claims {
+    /// Wakes every waiting request.
+    pub fn wake(&self) {
+        self.moved.notify_all();
+    }
+
+    /// Offset of the next record to read.
+    pub fn next(&self) -> u64 {
+        lock(&self.inner).next
+    }
+
+    /// Clock time at which the stream was last read to its end; 0 for never.
+    pub fn fresh(&self) -> Millis {
+        lock(&self.inner).fresh
+    }
+
+    /// Keys remembered.
+    pub fn len(&self) -> usize {
+        lock(&self.cells).len()
+    }
+
+    /// True when no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn pause(&self, ms: u64) {
+        let inner = lock(&self.inner);
+        drop(self.moved.wait_timeout(inner, Duration::from_millis(ms)));
+    }
+}
+
+/// Which request is sent, under which key.
+#[derive(Debug, Clone, Copy)]
+pub struct Keyed<'a> {
+    /// Key as the caller gave it.
+    pub text: &'a str,
+    /// Its hash with workspace and service.
+    pub key: Key,
+    /// Hash of the request.
+    pub digest: u64,
+    /// Time until which the caller waits.
+    pub deadline: Millis,
+}
+
+/// Result of the one send under a claim.
+#[derive(Debug)]
+pub enum Sent {
+    /// It ran and this is its answer.
+    Ran(Answer),
+    /// No byte left; it certainly did not run.
+    NotSent(Failure),
+    /// A byte may have left and no whole answer came.
+    Lost(Failure),
+}
+
+impl Entry {
+    /// Folds a page of the claims stream.
+    pub(super) fn fold_claims(&self, page: &Page) {
+        let now = self.now();
+        let mut late = Vec::new();
+        {
+            let mut inner = lock(&self.claims.inner);
+            inner.skew = page.now as i64 - now as i64;
+            inner.retention = page.retention;
+            inner.next = inner.next.max(page.oldest);
+            for record in &page.records {
+                if record.offset < inner.next {
+                    continue;
+                }
+                inner.next = record.offset + 1;
+                let Ok(batch) = crate::adapter::codec::unpack::<Batch>(&record.data) else {
+                    tracing::error!("log: claims record {} can't be read.", record.offset);
+                    continue;
+                };
+                for op in &batch.ops {
+                    inner.table.apply(record.at, op);
+                    late.extend(given_up(&inner, op));
+                }
+            }
+            if inner.next >= page.next {
+                inner.fresh = now;
+            }
+            let log_now = page.now;
+            inner.table.prune(log_now);
+            inner.given_up.retain(|_, until| log_now < *until);
+        }
+        for op in late {
+            self.journal.settle(op);
+        }
+        self.claims.wake();
+    }
+
+    /// Forgets keys taken longer ago than the window.
+    pub(super) fn prune_cells(&self) {
+        let now = self.now();
+        let window = self.claim_window();
+        let mut cells = lock(&self.claims.cells);
+        cells.retain(|_, c| now < c.born + window || matches!(*lock(&c.state), CellState::Running));
+        self.metrics.keys.set(cells.len() as i64);
+    }
+
+    /// How long a key is remembered: as configured, but no longer than the log allows.
+    pub(super) fn claim_window(&self) -> u64 {
+        let wanted = self.fleet().map_or(0, |f| f.claim_window);
+        let retention = lock(&self.claims.inner).retention;
+        if retention == 0 {
+            return wanted;
+        }
+        wanted.min((retention as f64 * RETENTION_PART) as u64)
+    }
+
+    /// Runs a request under its key, or gets the answer of whoever runs it.
+    pub(super) fn once(
+        self: &Arc<Self>,
+        keyed: &Keyed<'_>,
+        note: &mut String,
+        send: impl FnOnce() -> Sent,
+    ) -> Ended {
+        match key_age(keyed.text, self.now(), self.claim_window()) {
+            KeyAge::Usable => {}
+            KeyAge::Ahead => {
+                let text = "the idempotency key was made in the future";
+                return Err(Failure::not_run(400, "key_ahead", text));
+            }
+            KeyAge::Expired => {
+                let text = "the idempotency key is older than the keys that are remembered";
+                return Err(Failure::unknown(409, "key_expired", text));
+            }
+        }
+        let (cell, mine) = self.cell(keyed);
+        if cell.digest != keyed.digest {
+            return Err(reused());
+        }
+        if !mine {
+            *note = "joined a request with this key on this instance".to_owned();
+            return self.join(&cell, keyed.deadline);
+        }
+        let ended = if keyed.text.starts_with(HOME) {
+            *note = "key issued by this instance".to_owned();
+            self.settle(&cell, send())
+        } else {
+            self.claimed(keyed, &cell, note, send)
+        };
+        if matches!(*lock(&cell.state), CellState::Running) {
+            invariant!(false, "the cell of a key was left running");
+        }
+        ended
+    }
+
+    /// The cell of a key, and whether this call has made it.
+    fn cell(&self, keyed: &Keyed<'_>) -> (Arc<Cell>, bool) {
+        let mut cells = lock(&self.claims.cells);
+        if let Some(cell) = cells.get(&keyed.key)
+            && !matches!(*lock(&cell.state), CellState::NotSent(_))
+        {
+            return (Arc::clone(cell), false);
+        }
+        let cell = Arc::new(Cell {
+            digest: keyed.digest,
+            born: self.now(),
+            state: Mutex::new(CellState::Running),
+            changed: Condvar::new(),
+        });
+        cells.insert(keyed.key, Arc::clone(&cell));
+        (cell, true)
+    }
+
+    fn join(&self, cell: &Cell, deadline: Millis) -> Ended {
+        loop {
+            match cell.wait(LOOK) {
+                CellState::Done(answer) => return Ok(answer),
+                CellState::Lost => return Err(lost()),
+                CellState::NotSent(failure) => return Err(failure),
+                CellState::Running if self.now() >= deadline => return Err(still_running()),
+                CellState::Running => {}
+            }
+        }
+    }
+
+    /// Records the result of a send in the cell.
+    fn settle(&self, cell: &Cell, sent: Sent) -> Ended {
+        match sent {
+            Sent::Ran(answer) => {
+                cell.set(CellState::Done(answer.clone()));
+                Ok(answer)
+            }
+            Sent::NotSent(failure) => {
+                cell.set(CellState::NotSent(failure.clone()));
+                Err(failure)
+            }
+            Sent::Lost(failure) => {
+                cell.set(CellState::Lost);
+                Err(failure)
+            }
+        }
+    }
+
+    fn claimed(
+        self: &Arc<Self>,
+        keyed: &Keyed<'_>,
+        cell: &Cell,
+        note: &mut String,
+        send: impl FnOnce() -> Sent,
+    ) -> Ended {
+        loop {
+            let nonce = Uuid::new_v4();
+            let failure = match self.stake(keyed, nonce) {
+                Stake::First { at } => {
+                    *note = format!(
+                        "first on the log, {} ms after the claim",
+                        self.log_now() - at
+                    );
+                    let sent = send();
+                    self.journal.settle(record(keyed.key, nonce, &sent));
+                    return self.settle(cell, sent);
+                }
+                Stake::Behind(holder) => {
+                    *note = format!("another claim came first, by {}", holder.boot);
+                    match self.follow_holder(keyed, holder) {
+                        Followed::Free => continue,
+                        Followed::Ended(Ok(answer)) => {
+                            cell.set(CellState::Done(answer.clone()));
+                            return Ok(answer);
+                        }
+                        Followed::Ended(Err(failure)) => failure,
+                    }
+                }
+                Stake::Mismatch => reused(),
+                Stake::None(why) => {
+                    *note = format!("no claim: {why}");
+                    self.unclaimed(keyed.key)
+                }
+            };
+            // This instance sent nothing; a resend looks again.
+            cell.set(CellState::NotSent(failure.clone()));
+            return Err(failure);
+        }
+    }
+
+    fn log_now(&self) -> Millis {
+        let skew = lock(&self.claims.inner).skew;
+        self.now().saturating_add_signed(skew)
+    }
+
+    /// Claims a key on the log and waits until reading the log has decided.
+    fn stake(&self, keyed: &Keyed<'_>, nonce: Uuid) -> Stake {
+        if let Some(holder) = self.holder(keyed) {
+            return holder;
+        }
+        let window = self.claim_window();
+        let claim = Claim {
+            key: keyed.key,
+            nonce,
+            boot: self.boot,
+            digest: keyed.digest,
+            window,
+        };
+        let ticket = self.journal.claim(Op::Claim(claim));
+        let end = keyed.deadline.min(self.now() + CLAIM_WAIT);
+        loop {
+            let seat = self.seat(keyed, nonce);
+            match seat {
+                Seat::First => {
+                    let at = lock(&self.claims.inner)
+                        .table
+                        .holder(keyed.key, 0)
+                        .map_or(0, |h| h.at);
+                    return Stake::First { at };
+                }
+                Seat::Behind(holder) => return Stake::Behind(holder),
+                Seat::Mismatch => return Stake::Mismatch,
+                Seat::Free => {}
+            }
+            let appended = *lock(&ticket);
+            let why = match appended {
+                Appended::No => "the log refused it",
+                _ if self.now() >= end => "the log did not decide in time",
+                _ => {
+                    self.claims.pause(LOOK);
+                    continue;
+                }
+            };
+            return self.give_up(keyed, nonce, &ticket, why);
+        }
+    }
+
+    /// Gives a claim up, unless the log has decided it at the last moment.
+    fn give_up(
+        &self,
+        keyed: &Keyed<'_>,
+        nonce: Uuid,
+        ticket: &Mutex<Appended>,
+        why: &'static str,
+    ) -> Stake {
+        *lock(ticket) = Appended::No;
+        let until = self.log_now() + self.claim_window();
+        let mut inner = lock(&self.claims.inner);
+        match inner
+            .table
+            .seat(keyed.key, nonce, keyed.digest, until.saturating_sub(1))
+        {
+            Seat::Free => {
+                inner.given_up.insert(nonce, until);
+                Stake::None(why)
+            }
+            Seat::First => {
+                let at = inner.table.holder(keyed.key, 0).map_or(0, |h| h.at);
+                Stake::First { at }
+            }
+            Seat::Behind(holder) => Stake::Behind(holder),
+            Seat::Mismatch => Stake::Mismatch,
+        }
+    }
+
+    fn seat(&self, keyed: &Keyed<'_>, nonce: Uuid) -> Seat {
+        let now = self.log_now();
+        lock(&self.claims.inner)
+            .table
+            .seat(keyed.key, nonce, keyed.digest, now)
+    }
+
+    fn holder(&self, keyed: &Keyed<'_>) -> Option<Stake> {
+        match self.seat(keyed, Uuid::nil()) {
+            Seat::Behind(holder) => Some(Stake::Behind(holder)),
+            Seat::Mismatch => Some(Stake::Mismatch),
+            Seat::Free | Seat::First => None,
+        }
+    }
+
+    /// Gets the answer from the log or from the claimant.
+    fn follow_holder(&self, keyed: &Keyed<'_>, mut holder: Holder) -> Followed {
+        let mut heard = self.now();
+        loop {
+            match self.seat(keyed, holder.nonce) {
+                Seat::First => {}
+                Seat::Free => return Followed::Free,
+                Seat::Behind(next) => {
+                    holder = next;
+                    continue;
+                }
+                Seat::Mismatch => return Followed::Ended(Err(reused())),
+            }
+            let state = lock(&self.claims.inner)
+                .table
+                .holder(keyed.key, 0)
+                .map(|h| h.state.clone());
+            match state {
+                Some(State::Done(answer)) => return Followed::Ended(Ok(answer.as_ref().clone())),
+                Some(State::Lost) => return Followed::Ended(Err(lost())),
+                Some(State::Held) | None => {}
+            }
+            match gossip::ask(self, holder.boot, keyed.key, LOOK * 5) {
+                Some(KeyNews::Done(answer)) => return Followed::Ended(Ok(answer)),
+                Some(KeyNews::Lost) => return Followed::Ended(Err(lost())),
+                Some(KeyNews::Running) => heard = self.now(),
+                Some(KeyNews::NotSent | KeyNews::Unknown) | None => {}
+            }
+            let now = self.now();
+            if now >= keyed.deadline {
+                return Followed::Ended(Err(still_running()));
+            }
+            if now >= heard + CLAIMANT_GRACE {
+                let text = "the instance that ran this request is gone";
+                let failure = Failure::unknown(502, "claimant_gone", text);
+                return Followed::Ended(Err(failure));
+            }
+            self.claims.pause(LOOK);
+        }
+    }
+
+    /// The key could not be claimed: says "not run" only when that is certain.
+    fn unclaimed(&self, key: Key) -> Failure {
+        let text = "the log can't take the claim of this key now";
+        if self.surely_not_run(key) {
+            return Failure::not_run(503, "log_unavailable", text).retry_after(LOG_RETRY);
+        }
+        Failure::unknown(503, "log_unavailable", text).retry_after(LOG_RETRY)
+    }
+
+    /// True when no instance can have run the key: none claimed it as far as the log was read,
+    /// and every instance alive since then denies having taken it.
+    fn surely_not_run(&self, key: Key) -> bool {
+        let fresh = {
+            let inner = lock(&self.claims.inner);
+            let now = self.now().saturating_add_signed(inner.skew);
+            if inner.fresh == 0 || inner.table.holder(key, now).is_some() {
+                return false;
+            }
+            inner.fresh
+        };
+        gossip::all_deny(self, key, fresh)
+    }
+
+    /// What this instance knows of a key, for a peer that asks.
+    pub(super) fn key_news(&self, key: Key, wait: u64) -> KeyNews {
+        let Some(cell) = lock(&self.claims.cells).get(&key).cloned() else {
+            return KeyNews::Unknown;
+        };
+        match if wait == 0 {
+            cell.get()
+        } else {
+            cell.wait(wait)
+        } {
+            CellState::Running => KeyNews::Running,
+            CellState::Done(answer) => KeyNews::Done(answer),
+            CellState::Lost => KeyNews::Lost,
+            CellState::NotSent(f) if f.ran == Ran::No => KeyNews::NotSent,
+            CellState::NotSent(_) => KeyNews::Unknown,
+        }
+    }
+}
+
+/// What following another claim came to.
+enum Followed {
+    Ended(Ended),
+    Free,
+}
+
+/// Where a claim stands.
+enum Stake {
+    First { at: Millis },
+    Behind(Holder),
+    Mismatch,
+    None(&'static str),
+}
+
+/// The record of a send's result.
+fn record(key: Key, nonce: Uuid, sent: &Sent) -> Op {
+    match sent {
+        Sent::Ran(answer) if answer.body.len() <= ANSWER_LIMIT => Op::Done {
+            key,
+            nonce,
+            answer: answer.clone(),
+        },
+        // Too large for the log; it ran, and only this instance has the answer.
+        Sent::Ran(_) | Sent::Lost(_) => Op::Lost { key, nonce },
+        Sent::NotSent(_) => Op::Release { key, nonce },
+    }
+}
+
+/// The release of a claim that shows up after it was given up.
+fn given_up(inner: &Inner, op: &Op) -> Option<Op> {
+    let Op::Claim(claim) = op else { return None };
+    let given_up = inner.given_up.contains_key(&claim.nonce);
+    given_up.then_some(Op::Release {
+        key: claim.key,
+        nonce: claim.nonce,
+    })
+}
+
+fn lost() -> Failure {
+    Failure::unknown(
+        502,
+        "outcome_unknown",
+        "the request was sent and its outcome is not known",
+    )
+}
+
+fn still_running() -> Failure {
+    Failure::unknown(
+        504,
+        "still_running",
+        "the request with this key has not ended yet",
+    )
+    .retry_after(1_000)
+}
+
+fn reused() -> Failure {
+    Failure::not_run(
+        422,
+        "key_reused",
+        "the idempotency key was used for a different request",
+    )
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,256 @@
+//! An entry instance: serves callers, and shares decisions with its peers and the log.
+
+pub mod admin;
+pub mod attempt;
+pub mod audit;
+pub mod chat;
+pub mod fail;
+pub mod follow;
+pub mod front;
+pub mod gossip;
+pub mod hall;
+pub mod journal;
+pub mod keyed;
+pub mod members;
+pub mod metrics;
+pub mod plain;
+pub mod trace;
+
+use std::io;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+
+use indexmap::IndexMap;
+use uuid::Uuid;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::adapter::clock::{Clock, Millis};
+use crate::adapter::list::List;
+use crate::adapter::log::Log;
+use crate::adapter::serve::{Server, Service};
+use crate::config::{Fleet, Settings};
+use crate::fleet::audit::{Event, EventKind};
+use crate::fleet::config::{Current, Fold};
+use crate::policy::suspect::Suspects;
+use hall::Hall;
+
+/// Interval of time-driven decisions, in milliseconds.
+const TICK: u64 = 20;
+
+/// Locks a mutex; a thread that panicked while it held the lock doesn't end the others.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Number of an instance, the same on every instance.
+pub fn number_of(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+/// One entry instance.
+pub struct Entry {
+    /// Settings.
+    pub settings: Settings,
+    /// Its clock.
+    pub clock: Clock,
+    /// Its present life.
+    pub boot: Uuid,
+    log: Log,
+    list: List,
+    config: Mutex<Fold>,
+    halls: Mutex<IndexMap<String, Arc<Hall>>>,
+    claims: keyed::Claims,
+    journal: journal::Journal,
+    suspects: Mutex<Suspects>,
+    peers: gossip::Peers,
+    members: Mutex<members::Members>,
+    traces: trace::Traces,
+    metrics: metrics::Metrics,
+    jobs: AtomicU64,
+    leaving: AtomicBool,
+    stopped: AtomicBool,
+}
+
+impl Entry {
+    /// An instance that doesn't run yet.
+    pub fn new(settings: Settings, clock: Clock) -> Arc<Self> {
+        Arc::new(Self {
+            log: Log::new(settings.log),
+            list: List::new(settings.list),
+            boot: Uuid::new_v4(),
+            config: Mutex::new(Fold::default()),
+            halls: Mutex::new(IndexMap::new()),
+            claims: keyed::Claims::default(),
+            journal: journal::Journal::default(),
+            suspects: Mutex::new(Suspects::default()),
+            peers: gossip::Peers::default(),
+            members: Mutex::new(members::Members::default()),
+            traces: trace::Traces::default(),
+            metrics: metrics::Metrics::default(),
+            jobs: AtomicU64::new(1),
+            leaving: AtomicBool::new(false),
+            stopped: AtomicBool::new(false),
+            settings,
+            clock,
+        })
+    }
+
+    /// Starts all threads and the caller's server.
+    pub fn start(self: &Arc<Self>) -> io::Result<Server> {
+        admin::start(self)?;
+        follow::start(self);
+        journal::start(self);
+        members::start(self);
+        self.spawn("tick", Entry::tick);
+        let entry = Arc::clone(self);
+        let service = Service {
+            body_limit: self.settings.body_limit,
+            handler: Box::new(move |request, reply| front::handle(&entry, request, reply)),
+            refuse: Box::new(fail::refuse),
+        };
+        let server = Server::start(self.settings.listen, service)?;
+        tracing::info!("entry: {} serves on {}.", self.settings.name, server.addr());
+        self.event(EventKind::Started, &self.settings.name, "began to serve");
+        Ok(server)
+    }
+
+    /// Runs `body` again and again on a thread of its own until the instance stops.
+    fn spawn(self: &Arc<Self>, name: &str, body: impl Fn(&Arc<Self>) + Send + 'static) {
+        let entry = Arc::clone(self);
+        let named = thread::Builder::new().name(name.to_owned());
+        let spawned = named.spawn(move || {
+            while !entry.stopped() {
+                body(&entry);
+            }
+        });
+        if let Err(e) = spawned {
+            tracing::error!("entry: no thread for {name}: {e}.");
+        }
+    }
+
+    fn tick(self: &Arc<Self>) {
+        self.clock.sleep(TICK);
+        let now = self.clock.now();
+        for hall in self.all_halls() {
+            hall.tick(now);
+            self.report(&hall);
+        }
+    }
+
+    /// Ends gracefully: requests in progress end, records are flushed, peers are told.
+    pub fn shutdown(self: &Arc<Self>, server: &Server) {
+        tracing::info!("entry: {} is leaving.", self.settings.name);
+        self.leaving.store(true, Ordering::SeqCst);
+        gossip::tell_all(self);
+        self.clock.sleep(self.settings.linger);
+        server.close();
+        let end = self.clock.now() + self.settings.drain;
+        while server.busy() > 0 && self.clock.now() < end {
+            self.clock.sleep(TICK);
+        }
+        let left = server.busy();
+        if left > 0 {
+            tracing::error!("entry: {left} requests were cut off at the end of the drain time.");
+        }
+        self.event(EventKind::Stopped, &self.settings.name, "ended gracefully");
+        self.flush();
+        gossip::tell_all(self);
+        self.stopped.store(true, Ordering::SeqCst);
+        tracing::info!("entry: {} has ended.", self.settings.name);
+    }
+
+    fn flush(&self) {
+        const LIMIT: u64 = 5_000;
+        let end = self.clock.now() + LIMIT;
+        while !self.journal.is_empty() && self.clock.now() < end {
+            self.clock.sleep(TICK);
+        }
+    }
+
+    /// True once the instance has ended.
+    pub fn stopped(&self) -> bool {
+        self.stopped.load(Ordering::SeqCst)
+    }
+
+    /// True once the instance is shutting down.
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// True when callers may be sent here.
+    pub fn ready(&self) -> bool {
+        !self.leaving() && self.fleet().is_some()
+    }
+
+    fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    fn next_job(&self) -> u64 {
+        self.jobs.fetch_add(1, Ordering::SeqCst)
+    }
+
+    /// Configuration in force.
+    pub fn fleet(&self) -> Option<Arc<Fleet>> {
+        lock(&self.config).current().map(|c| Arc::clone(&c.fleet))
+    }
+
+    fn current(&self) -> Option<Current> {
+        lock(&self.config).current().cloned()
+    }
+
+    fn hall(&self, service: &str) -> Option<Arc<Hall>> {
+        lock(&self.halls).get(service).cloned()
+    }
+
+    fn all_halls(&self) -> Vec<Arc<Hall>> {
+        lock(&self.halls).values().cloned().collect()
+    }
+
+    /// Puts the configuration in force to use.
+    fn configure(&self, current: &Current) {
+        let now = self.now();
+        let limits: IndexMap<String, u32> = current
+            .fleet
+            .workspaces
+            .iter()
+            .map(|(n, w)| (n.clone(), w.running))
+            .collect();
+        let me = number_of(&self.settings.name);
+        let mut halls = lock(&self.halls);
+        for (i, name) in current.fleet.services.keys().enumerate() {
+            let hall = halls.entry(name.clone()).or_insert_with(|| {
+                let (domain, strategy) = (&self.settings.domain, self.settings.strategy);
+                Arc::new(Hall::new(
+                    name,
+                    me,
+                    domain,
+                    strategy,
+                    me.wrapping_add(i as u64),
+                ))
+            });
+            hall.with(now, |pool| {
+                pool.configure(&current.fleet.classes, limits.clone())
+            });
+        }
+        halls.retain(|name, hall| current.fleet.services.contains_key(name) || hall.busy());
+        drop(halls);
+        self.metrics.version.set(current.version as i64);
+        tracing::info!("config: version {} is in force.", current.version);
+        members::apply(self);
+    }
+
+    /// Adds an event to the audit trail.
+    fn event(&self, kind: EventKind, subject: &str, detail: &str) {
+        tracing::info!("audit: {kind:?} {subject}: {detail}.");
+        let event = Event {
+            at: self.now(),
+            who: self.settings.name.clone(),
+            kind,
+            subject: subject.to_owned(),
+            detail: detail.to_owned(),
+        };
+        self.journal.note(crate::fleet::audit::Record::Event(event));
+    }
+}
--- /dev/null
+++ b/src/entry/plain.rs
@@ -0,0 +1,239 @@
+//! Calls to plain services under `/svc/NAME/...`.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::attempt::{Order, Run, Tried};
+use super::fail::Failure;
+use super::front::{CLASS, HOP, KEY, Visit};
+use super::keyed::{HOME, Keyed, Sent};
+use super::trace::Trace;
+use super::{Entry, gossip};
+use crate::adapter::endpoint::{self, Call, Fault, Watch};
+use crate::adapter::serve::{Reply, Request};
+use crate::config::Kind;
+use crate::policy::claim::Answer;
+use crate::policy::pool::Grant;
+use std::sync::Arc;
+
+/// Shortest time that a request which must not run twice is given, in milliseconds.
+const ONCE_LIMIT: u64 = 60_000;
+/// Headers that end at each hop.
+const HOP_HEADERS: [&str; 10] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "content-length",
+];
+
+/// Serves a call to a plain service.
+pub fn serve(mut visit: Visit<'_>, reply: &mut Reply<'_>) -> Result<(), Failure> {
+    let rest = visit.request.path.trim_start_matches("/svc/").to_owned();
+    let (name, path) = rest.split_once('/').unwrap_or((&rest, ""));
+    let fleet = Arc::clone(&visit.fleet);
+    let service = fleet.services.get(name).filter(|s| s.kind == Kind::Plain);
+    let Some(service) = service else {
+        let text = format!("no plain service is called `{name}`");
+        return Err(Failure::not_run(404, "unknown_service", text));
+    };
+    let safe = matches!(visit.request.method.as_str(), "GET" | "HEAD" | "OPTIONS");
+    let class = visit.class(if safe {
+        &service.read_class
+    } else {
+        &service.write_class
+    })?;
+    let digest = visit.digest();
+    let order = visit.order(name, &class, xxh3_64(&digest.to_le_bytes()), 0);
+    let target = match visit.request.query.as_str() {
+        "" => format!("/{path}"),
+        query => format!("/{path}?{query}"),
+    };
+    let key = if order.once { visit.key(name)? } else { None };
+    let entry = visit.entry;
+    if let Some((text, _)) = &key
+        && let Some(answer) = entry.pass_home(text, &visit.request)?
+    {
+        visit.send(&answer, reply);
+        return Ok(());
+    }
+    let mut trace = std::mem::take(&mut visit.trace);
+    let line = reply.line();
+    let gone = move || {
+        line.as_ref()
+            .is_some_and(super::super::adapter::serve::Line::gone)
+    };
+    let ended = match &key {
+        Some((text, key)) => {
+            let keyed = Keyed {
+                text,
+                key: *key,
+                digest,
+                deadline: order.deadline(),
+            };
+            let mut note = String::new();
+            let ended = entry.once(&keyed, &mut note, || {
+                match entry.forward(&order, &mut trace, &visit.request, &target, &|| false) {
+                    Run::Whole(answer) => Sent::Ran(answer),
+                    Run::Failed {
+                        failure,
+                        sent: false,
+                    } => Sent::NotSent(failure),
+                    Run::Failed {
+                        failure,
+                        sent: true,
+                    } => Sent::Lost(failure),
+                    Run::CallerGone => {
+                        Sent::Lost(Failure::unknown(502, "outcome_unknown", "the call was cut"))
+                    }
+                }
+            });
+            trace.claim = note;
+            ended
+        }
+        None => {
+            let stays = || false;
+            let unwanted: &dyn Fn() -> bool = if order.once { &stays } else { &gone };
+            match entry.forward(&order, &mut trace, &visit.request, &target, unwanted) {
+                Run::Whole(answer) => Ok(answer),
+                Run::Failed { failure, .. } => Err(failure),
+                Run::CallerGone => {
+                    entry.finish(trace, "caller_gone");
+                    return Ok(());
+                }
+            }
+        }
+    };
+    match ended {
+        Ok(answer) => {
+            entry.first_token(&order);
+            entry.finish(trace, "whole");
+            visit.send(&answer, reply);
+            Ok(())
+        }
+        Err(failure) => {
+            entry.finish(trace, failure.code);
+            Err(failure)
+        }
+    }
+}
+
+impl Entry {
+    fn forward(
+        self: &Arc<Self>,
+        order: &Order,
+        trace: &mut Trace,
+        request: &Request,
+        target: &str,
+        unwanted: &dyn Fn() -> bool,
+    ) -> Run<Answer> {
+        let named = |n: &str| matches!(n, CLASS | HOP | "authorization" | "x-request-id");
+        let mut headers: Vec<(String, String)> = request
+            .headers
+            .iter()
+            .filter(|(n, _)| !HOP_HEADERS.contains(&n.as_str()) && !named(n))
+            .cloned()
+            .collect();
+        headers.push(("x-request-id".to_owned(), order.id.clone()));
+        self.run(order, trace, unwanted, |grant| {
+            let call = Call {
+                addr: &grant.addr,
+                method: &request.method,
+                path: target,
+                headers: &headers,
+                body: &request.body,
+            };
+            self.call_plain(order, grant, &call)
+        })
+    }
+
+    fn call_plain(&self, order: &Order, _: &Grant, call: &Call<'_>) -> Tried<Answer> {
+        let left = order.deadline().saturating_sub(self.now()).max(1);
+        let limit = if order.once {
+            left.max(ONCE_LIMIT)
+        } else {
+            left
+        };
+        let watch = Watch::new(limit, limit, Box::new(|| false));
+        let answer = endpoint::call(call, &watch).and_then(|a| {
+            let (status, headers) = (a.status, a.headers.clone());
+            a.whole().map(|body| Answer {
+                status,
+                headers: passed(headers),
+                body,
+            })
+        });
+        match answer {
+            Ok(answer) => Tried::Whole(answer, None),
+            Err(fault) => Tried::Failed {
+                fault,
+                sent: watch.sent(),
+                from: 0,
+            },
+        }
+    }
+
+    /// Passes a request whose key another instance has issued on to that instance.
+    fn pass_home(&self, key: &str, request: &Request) -> Result<Option<Answer>, Failure> {
+        let Some(rest) = key.strip_prefix(HOME) else {
+            return Ok(None);
+        };
+        const BOOT_LEN: usize = 36;
+        let boot = rest
+            .get(..BOOT_LEN)
+            .and_then(|b| uuid::Uuid::parse_str(b).ok());
+        let Some(boot) = boot else {
+            let text = format!("a key that begins with `{HOME}` must be one that was issued");
+            return Err(Failure::not_run(400, "bad_key", text));
+        };
+        if boot == self.boot {
+            return Ok(None);
+        }
+        let gone = || {
+            let text = "the instance that issued this key can't be reached";
+            Failure::unknown(409, "key_home_gone", text)
+        };
+        if request.header(HOP).is_some() {
+            return Err(gone());
+        }
+        let row = gossip::row_of(self, boot).ok_or_else(gone)?;
+        let mut headers: Vec<(String, String)> = request
+            .headers
+            .iter()
+            .filter(|(n, _)| !HOP_HEADERS.contains(&n.as_str()))
+            .cloned()
+            .collect();
+        headers.push((HOP.to_owned(), self.settings.name.clone()));
+        let path = format!("{}?{}", request.path, request.query);
+        let call = Call {
+            addr: &row.addr,
+            method: &request.method,
+            path: &path,
+            headers: &headers,
+            body: &request.body,
+        };
+        let watch = Watch::new(ONCE_LIMIT, ONCE_LIMIT, Box::new(|| false));
+        let passed_on = endpoint::call(&call, &watch).and_then(|a| {
+            let (status, headers) = (a.status, a.headers.clone());
+            a.whole().map(|body| Answer {
+                status,
+                headers: passed(headers),
+                body,
+            })
+        });
+        passed_on.map(Some).map_err(|fault: Fault| {
+            tracing::warn!("keyed: the home of a key failed: {fault}.");
+            gone()
+        })
+    }
+}
+
+/// Headers of an answer that go on to the caller.
+fn passed(headers: Vec<(String, String)>) -> Vec<(String, String)> {
+    let ends = |n: &str| HOP_HEADERS.contains(&n) || n == "x-request-id" || n == KEY;
+    headers.into_iter().filter(|(n, _)| !ends(n)).collect()
+}
--- /dev/null
+++ b/src/entry/trace.rs
@@ -0,0 +1,78 @@
+//! What was decided for each recent request, for `explain`.
+
+use std::sync::Mutex;
+
+use indexmap::IndexMap;
+
+use super::lock;
+use crate::adapter::clock::Millis;
+
+/// Requests remembered.
+const KEPT: usize = 4_000;
+
+data! {
+    /// One attempt at an endpoint.
+    pub struct Attempt {
+        /// Endpoint.
+        pub endpoint: String,
+        /// Priority given to the engine.
+        pub priority: u8,
+        /// Endpoints weighed and their costs; the cheapest was taken.
+        pub weighed: Vec<(String, f64)>,
+        /// Wait for the grant in milliseconds.
+        pub waited: u64,
+        /// First token asked for.
+        pub from: u64,
+        /// How it ended.
+        pub outcome: String,
+    }
+
+    /// One request.
+    #[derive(Default)]
+    pub struct Trace {
+        /// Request id.
+        pub id: String,
+        /// Instance that served it.
+        pub instance: String,
+        /// Time it came in.
+        pub at: Millis,
+        /// Workspace.
+        pub workspace: String,
+        /// Class.
+        pub class: String,
+        /// Service.
+        pub service: String,
+        /// Version of the configuration.
+        pub version: u64,
+        /// Exceptions applied.
+        pub exceptions: Vec<String>,
+        /// What its claim came to; empty without one.
+        pub claim: String,
+        /// Attempts in order.
+        pub attempts: Vec<Attempt>,
+        /// How it ended.
+        pub outcome: String,
+        /// Whole time in milliseconds.
+        pub took: u64,
+    }
+}
+
+/// Recent requests of this instance.
+#[derive(Debug, Default)]
+pub struct Traces(Mutex<IndexMap<String, Trace>>);
+
+impl Traces {
+    /// Keeps a trace; the oldest goes when there are too many.
+    pub fn keep(&self, trace: Trace) {
+        let mut map = lock(&self.0);
+        if map.len() >= KEPT {
+            map.shift_remove_index(0);
+        }
+        map.insert(trace.id.clone(), trace);
+    }
+
+    /// Finds a request.
+    pub fn find(&self, id: &str) -> Option<Trace> {
+        lock(&self.0).get(id).cloned()
+    }
+}
--- /dev/null
+++ b/src/fleet/config.rs
@@ -0,0 +1,317 @@
+//! Fold of the `config` stream: which configuration is in force.
+//!
+//! A publication names the version it was edited from. It is accepted if and only if that
+//! version is in force at its offset and the document is valid; every reader decides the same.
+//! Records expire, so the version in force is carried forward: a carry states the version and
+//! up to which offset it accounts for. A reader that starts behind trimmed records holds
+//! publications back until a carry or a peer tells it the version.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use uuid::Uuid;
+
+use crate::adapter::clock::Millis;
+use crate::config::Fleet;
+
+/// Stream of the log that holds these records.
+pub const STREAM: &str = "config";
+/// Publications held back at most.
+const MAX_PENDING: usize = 10_000;
+/// Publication ids remembered, to recognise repeated appends.
+const MAX_SEEN: usize = 50_000;
+
+data! {
+    /// A document that an operator publishes.
+    pub struct Publish {
+        /// Identity of the publication; the same in each repeated append.
+        pub id: Uuid,
+        /// Version that the document was edited from.
+        pub base: u64,
+        /// Operator who publishes.
+        pub author: String,
+        /// The document.
+        pub text: String,
+    }
+
+    /// The version in force, repeated before its record expires.
+    pub struct Carry {
+        /// Its number.
+        pub version: u64,
+        /// Publication that made it.
+        pub id: Uuid,
+        /// Operator who published it.
+        pub author: String,
+        /// All records before this offset are accounted for.
+        pub as_of: u64,
+        /// The document.
+        pub text: String,
+    }
+
+    /// One record of the stream.
+    pub enum Record {
+        /// A new document.
+        Publish(Publish),
+        /// The version in force.
+        Carry(Carry),
+    }
+}
+
+/// The configuration in force.
+#[derive(Debug, Clone)]
+pub struct Current {
+    /// Number, from 1.
+    pub version: u64,
+    /// Publication that made it.
+    pub id: Uuid,
+    /// Operator who published it.
+    pub author: String,
+    /// All records before this offset are accounted for.
+    pub as_of: u64,
+    /// Log time of its newest record.
+    pub logged: Millis,
+    /// The document.
+    pub text: Arc<str>,
+    /// The document, read.
+    pub fleet: Arc<Fleet>,
+}
+
+/// What became of a publication.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Outcome {
+    /// It is in force as this version.
+    Accepted { version: u64 },
+    /// It was edited from a version that was no longer in force.
+    Conflict { version: u64, author: String },
+    /// The document has findings.
+    Invalid { findings: String },
+}
+
+/// A publication that was decided.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Decided {
+    /// Offset of its record.
+    pub offset: u64,
+    /// Log time of its record.
+    pub at: Millis,
+    /// The publication.
+    pub publish: Publish,
+    /// What became of it.
+    pub outcome: Outcome,
+}
+
+/// The fold.
+#[derive(Debug, Default)]
+pub struct Fold {
+    /// First offset from which every record was read.
+    start: u64,
+    next: u64,
+    /// True when the version in force at `next` is certain.
+    known: bool,
+    current: Option<Current>,
+    pending: Vec<(u64, Millis, Publish)>,
+    seen: IndexMap<Uuid, u64>,
+}
+
+impl Fold {
+    /// Offset of the next record to read.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// The configuration in force, if any is known.
+    pub fn current(&self) -> Option<&Current> {
+        self.current.as_ref()
+    }
+
+    /// Version in force; 0 while none is known.
+    pub fn version(&self) -> u64 {
+        self.current.as_ref().map_or(0, |c| c.version)
+    }
+
+    /// True when publications can be decided.
+    pub fn known(&self) -> bool {
+        self.known
+    }
+
+    /// The log keeps records from `oldest` on. Call before applying a page. Where unread
+    /// records were trimmed, publications are held back until a carry accounts for the gap.
+    pub fn begins(&mut self, oldest: u64) {
+        if oldest == 0 && self.next == 0 {
+            self.known = true;
+        }
+        if oldest > self.next {
+            self.known = false;
+            self.start = oldest;
+            self.next = oldest;
+            self.pending.clear();
+        }
+    }
+
+    /// Applies the record at `offset`; returns the publications decided by it.
+    pub fn apply(&mut self, offset: u64, at: Millis, record: Record) -> Vec<Decided> {
+        if offset < self.next {
+            return Vec::new();
+        }
+        self.next = offset + 1;
+        match record {
+            Record::Publish(publish) if self.known => {
+                self.decide(offset, at, publish).into_iter().collect()
+            }
+            Record::Publish(publish) => {
+                if self.pending.len() < MAX_PENDING {
+                    self.pending.push((offset, at, publish));
+                }
+                Vec::new()
+            }
+            Record::Carry(carry) => self.adopt(at, carry),
+        }
+    }
+
+    fn decide(&mut self, offset: u64, at: Millis, publish: Publish) -> Option<Decided> {
+        if self.seen.contains_key(&publish.id) {
+            return None;
+        }
+        if self.seen.len() >= MAX_SEEN {
+            self.seen.shift_remove_index(0);
+        }
+        self.seen.insert(publish.id, offset);
+        let now_in_force = self.version();
+        let outcome = if self.current.as_ref().is_some_and(|c| offset < c.as_of) {
+            return None;
+        } else if publish.base != now_in_force {
+            let author = self
+                .current
+                .as_ref()
+                .map_or(String::new(), |c| c.author.clone());
+            Outcome::Conflict {
+                version: now_in_force,
+                author,
+            }
+        } else {
+            match Fleet::parse("config", &publish.text) {
+                Ok(fleet) => self.accept(offset, at, &publish, fleet),
+                Err(findings) => Outcome::Invalid {
+                    findings: findings.to_string(),
+                },
+            }
+        };
+        Some(Decided {
+            offset,
+            at,
+            publish,
+            outcome,
+        })
+    }
+
+    fn accept(&mut self, offset: u64, at: Millis, publish: &Publish, fleet: Fleet) -> Outcome {
+        let version = publish.base + 1;
+        self.replace(Current {
+            version,
+            id: publish.id,
+            author: publish.author.clone(),
+            as_of: offset + 1,
+            logged: at,
+            text: publish.text.as_str().into(),
+            fleet: Arc::new(fleet),
+        });
+        Outcome::Accepted { version }
+    }
+
+    fn replace(&mut self, new: Current) {
+        if let Some(old) = &self.current {
+            invariant!(
+                new.version >= old.version,
+                "config goes back from version {} to {}",
+                old.version,
+                new.version
+            );
+            invariant!(
+                new.version > old.version || new.id == old.id,
+                "two documents are called version {}",
+                new.version
+            );
+        }
+        self.current = Some(new);
+    }
+
+    /// Takes over the version that a carry or a peer states, unless an older one; then decides
+    /// the publications held back that it doesn't account for.
+    pub fn adopt(&mut self, at: Millis, carry: Carry) -> Vec<Decided> {
+        let as_of = carry.as_of;
+        let mine = self.version();
+        if carry.version < mine {
+            return Vec::new();
+        }
+        if carry.version > mine {
+            let read = self.known && as_of <= self.next;
+            invariant!(
+                !read,
+                "version {} was not found at offset {as_of}",
+                carry.version
+            );
+            if !self.take(at, carry) {
+                return Vec::new();
+            }
+        } else if let Some(c) = &mut self.current {
+            invariant!(carry.id == c.id, "two documents are called version {mine}");
+            c.logged = c.logged.max(at);
+            c.as_of = c.as_of.max(as_of);
+        }
+        if as_of > self.next {
+            self.start = as_of;
+            self.next = as_of;
+            self.pending.clear();
+        }
+        if as_of < self.start {
+            return Vec::new();
+        }
+        self.known = true;
+        let pending = std::mem::take(&mut self.pending);
+        let later = pending.into_iter().filter(|(offset, ..)| *offset >= as_of);
+        later
+            .filter_map(|(offset, at, publish)| self.decide(offset, at, publish))
+            .collect()
+    }
+
+    /// Puts the carried document in force; false when it can't be read.
+    fn take(&mut self, at: Millis, carry: Carry) -> bool {
+        let fleet = match Fleet::parse("config", &carry.text) {
+            Ok(fleet) => Arc::new(fleet),
+            Err(findings) => {
+                tracing::error!(
+                    "config: version {} can't be read: {findings}.",
+                    carry.version
+                );
+                return false;
+            }
+        };
+        self.replace(Current {
+            version: carry.version,
+            id: carry.id,
+            author: carry.author,
+            as_of: carry.as_of,
+            logged: at,
+            text: carry.text.into(),
+            fleet,
+        });
+        true
+    }
+
+    /// The version in force as a carry; `None` while there is none.
+    pub fn snapshot(&self) -> Option<Carry> {
+        let c = self.current.as_ref()?;
+        let as_of = if self.known {
+            self.next.max(c.as_of)
+        } else {
+            c.as_of
+        };
+        Some(Carry {
+            version: c.version,
+            id: c.id,
+            author: c.author.clone(),
+            as_of,
+            text: c.text.to_string(),
+        })
+    }
+}
--- /dev/null
+++ b/src/invariants.rs
@@ -0,0 +1,20 @@
+//! Counts invariant violations for the metrics page.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+static VIOLATIONS: AtomicU64 = AtomicU64::new(0);
+
+/// Records one violation. Panics where debug assertions are on, so that tests fail.
+pub fn violated(what: &str) {
+    VIOLATIONS.fetch_add(1, Ordering::Relaxed);
+    tracing::error!("invariant: violated: {what}");
+    if cfg!(debug_assertions) {
+        eprintln!("invariant: violated: {what}");
+        panic!("invariant violated: {what}");
+    }
+}
+
+/// Number of violations since the process started.
+pub fn violations() -> u64 {
+    VIOLATIONS.load(Ordering::Relaxed)
+}
--- /dev/null
+++ b/src/load/client.rs
@@ -0,0 +1,215 @@
+//! A caller: sends requests and reads whole or streamed answers.
+
+use std::time::Instant;
+
+use serde_json::{Value, json};
+
+use crate::adapter::endpoint::{self, Call, Fault, Watch};
+
+/// Longest silence that a caller bears, in milliseconds.
+const SILENCE: u64 = 60_000;
+/// Longest time of a request, in milliseconds.
+const TOTAL: u64 = 600_000;
+
+/// A request of a caller.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Address of the instance.
+    pub addr: String,
+    /// Bearer token.
+    pub token: String,
+    /// Class; empty for the default.
+    pub class: String,
+    /// Idempotency key; empty for none.
+    pub key: String,
+    /// More headers.
+    pub headers: Vec<(String, String)>,
+}
+
+/// An answer as the caller saw it. Times are milliseconds since the request was sent.
+#[derive(Debug, Clone, Default)]
+pub struct Got {
+    /// HTTP status.
+    pub status: u16,
+    /// Request id.
+    pub id: String,
+    /// Body, or the text of a stream.
+    pub text: String,
+    /// True when the answer ended as it should.
+    pub whole: bool,
+    /// Time of the first token, or of the answer.
+    pub first: f64,
+    /// Time of the last token, or of the answer.
+    pub last: f64,
+    /// Tokens.
+    pub tokens: u64,
+    /// Gaps between tokens above the smallest, in milliseconds.
+    pub gaps: Vec<f64>,
+    /// Code of an error.
+    pub code: String,
+    /// What the error says on whether it ran.
+    pub ran: String,
+}
+
+impl Ask {
+    /// An ask of the default class with no key.
+    pub fn new(addr: &str, token: &str) -> Self {
+        Self {
+            addr: addr.to_owned(),
+            token: token.to_owned(),
+            class: String::new(),
+            key: String::new(),
+            headers: Vec::new(),
+        }
+    }
+
+    /// Names a class.
+    pub fn class(mut self, class: &str) -> Self {
+        self.class = class.to_owned();
+        self
+    }
+
+    /// Gives a key.
+    pub fn key(mut self, key: &str) -> Self {
+        self.key = key.to_owned();
+        self
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    fn all_headers(&self) -> Vec<(String, String)> {
+        let mut all = vec![
+            ("authorization".to_owned(), format!("Bearer {}", self.token)),
+            ("content-type".to_owned(), "application/json".to_owned()),
+        ];
+        if !self.class.is_empty() {
+            all.push((crate::entry::front::CLASS.to_owned(), self.class.clone()));
+        }
+        if !self.key.is_empty() {
+            all.push((crate::entry::front::KEY.to_owned(), self.key.clone()));
+        }
+        all.extend(self.headers.iter().cloned());
+        all
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub fn send(&self, method: &str, path: &str, body: &[u8]) -> Result<Got, Fault> {
+        let start = Instant::now();
+        let watch = Watch::new(SILENCE, TOTAL, Box::new(|| false));
+        let headers = self.all_headers();
+        let call = Call {
+            addr: &self.addr,
+            method,
+            path,
+            headers: &headers,
+            body,
+        };
+        let answer = endpoint::call(&call, &watch)?;
+        let status = answer.status;
+        let id = answer.header("x-request-id").unwrap_or("").to_owned();
+        let text = String::from_utf8_lossy(&answer.whole()?).into_owned();
+        let took = ms(start);
+        let mut got = Got {
+            status,
+            id,
+            text,
+            first: took,
+            last: took,
+            whole: status < 400,
+            ..Got::default()
+        };
+        got.read_error();
+        Ok(got)
+    }
+
+    /// Sends a chat and reads its stream.
+    pub fn stream(&self, model: &str, prompt: &str, max: u64) -> Result<Got, Fault> {
+        let start = Instant::now();
+        let watch = Watch::new(SILENCE, TOTAL, Box::new(|| false));
+        let headers = self.all_headers();
+        let body = chat(model, prompt, max, true).to_string();
+        let path = "/v1/chat/completions";
+        let body = body.as_bytes();
+        let call = Call {
+            addr: &self.addr,
+            method: "POST",
+            path,
+            headers: &headers,
+            body,
+        };
+        let mut answer = endpoint::call(&call, &watch)?;
+        let id = answer.header("x-request-id").unwrap_or("").to_owned();
+        let mut got = Got {
+            status: answer.status,
+            id,
+            ..Got::default()
+        };
+        if got.status != 200 {
+            got.text = String::from_utf8_lossy(&answer.whole()?).into_owned();
+            got.first = ms(start);
+            got.last = got.first;
+            got.read_error();
+            return Ok(got);
+        }
+        let mut finished = false;
+        while let Ok(Some(data)) = answer.event() {
+            if data == "[DONE]" {
+                got.whole = finished;
+                break;
+            }
+            let value: Value = serde_json::from_str(&data).map_err(|_| Fault::Garbled)?;
+            if value.get("error").is_some() {
+                got.code = value["error"]["code"].as_str().unwrap_or("").to_owned();
+                got.ran = value["error"]["ran"].as_str().unwrap_or("").to_owned();
+            }
+            let choice = &value["choices"][0];
+            finished |= choice["finish_reason"].is_string();
+            if let Some(text) = choice["delta"]["content"].as_str() {
+                got.token(ms(start), text);
+            }
+        }
+        Ok(got)
+    }
+}
+
+impl Got {
+    fn token(&mut self, at: f64, text: &str) {
+        if self.tokens == 0 {
+            self.first = at;
+        } else {
+            self.gaps.push(at - self.last);
+        }
+        self.last = at;
+        self.tokens += 1;
+        self.text.push_str(text);
+    }
+
+    fn read_error(&mut self) {
+        let value: Value = serde_json::from_str(&self.text).unwrap_or(Value::Null);
+        self.code = value["error"]["code"].as_str().unwrap_or("").to_owned();
+        self.ran = value["error"]["ran"].as_str().unwrap_or("").to_owned();
+    }
+
+    /// The body as JSON; null when it is none.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.text).unwrap_or(Value::Null)
+    }
+}
+
+/// Body of a chat with one message.
+pub fn chat(model: &str, prompt: &str, max: u64, stream: bool) -> Value {
+    json!({
+        "model": model,
+        "messages": [{ "role": "user", "content": prompt }],
+        "max_tokens": max,
+        "stream": stream,
+    })
+}
+
+fn ms(start: Instant) -> f64 {
+    start.elapsed().as_secs_f64() * 1e3
+}
--- /dev/null
+++ b/src/policy/pool.rs
@@ -0,0 +1,759 @@
+//! One service on one instance: its queue, its endpoints, and who runs next where.
+
+use indexmap::IndexMap;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::budget::Budget;
+use super::endpoint::{Cause, Endpoint, Health, Report, SLOW_RATIO};
+use super::length::Lengths;
+use super::queue::{Entered, Queue};
+use super::share::{self, Demand, Quota, ROTATION, Rule};
+use super::{Job, JobId, Refusal};
+use crate::adapter::clock::Millis;
+use crate::config::{Class, Strategy};
+
+/// Age in milliseconds from which a peer's word is silent.
+pub const PEER_MAX_AGE: u64 = 2_000;
+/// Cost of leaving the own failure domain, in loads.
+const DOMAIN_COST: f64 = 0.08;
+/// What a likely cached prefix is worth, in loads.
+const AFFINITY_GAIN: f64 = 0.3;
+/// A preferred endpoint may be loaded up to this ratio of the mean.
+const AFFINITY_BOUND: f64 = 1.25;
+/// Endpoints drawn at random beside the preferred one.
+const DRAWS: usize = 3;
+/// Largest part of a service that may be ejected at a time.
+const EJECT_PART: usize = 3;
+/// Lowest number that engines take as a priority; lower runs first.
+pub const TOP_PRIORITY: u8 = 0;
+
+data! {
+    /// What an instance tells its peers about one service.
+    #[derive(Default)]
+    pub struct Load {
+        /// Running and queued requests by class.
+        pub classes: IndexMap<String, (u32, u32)>,
+        /// Own requests by endpoint.
+        pub endpoints: IndexMap<String, u32>,
+        /// Running requests by workspace, where a limit holds.
+        pub workspaces: IndexMap<String, u32>,
+    }
+}
+
+/// A peer as last heard.
+#[derive(Debug, Clone)]
+struct Peer {
+    at: Millis,
+    load: Load,
+}
+
+/// What happened to a request that came in.
+#[derive(Debug, PartialEq)]
+pub enum Arrival {
+    /// It waits for a grant.
+    Queued,
+    /// It was refused.
+    Refused(Refusal),
+    /// It waits, and this one was refused for it.
+    Displaced(JobId),
+}
+
+/// What to do next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    /// Send the job to the endpoint.
+    Grant(Grant),
+    /// Tell the caller that the job was not run.
+    Refuse(JobId, Refusal),
+    /// Nothing until the next event.
+    Wait,
+}
+
+/// A job's permission to run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Grant {
+    /// The job.
+    pub job: JobId,
+    /// Endpoint's name.
+    pub endpoint: String,
+    /// Endpoint's address.
+    pub addr: String,
+    /// Endpoint's life at this time; empty while unknown.
+    pub boot: String,
+    /// Priority for the engine.
+    pub priority: u8,
+    /// Endpoints weighed, with their costs.
+    pub weighed: Weighed,
+}
+
+/// How a granted job ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Outcome {
+    /// Whole answer; average token gap in milliseconds if it streamed.
+    Good { gap: Option<f64> },
+    /// The endpoint failed.
+    Bad,
+    /// The endpoint crashed.
+    Crashed,
+    /// The endpoint said that it takes no new work.
+    Draining,
+    /// It says nothing of the endpoint.
+    Neutral,
+}
+
+/// A change in an endpoint's use that operators want to know.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Notice {
+    /// An endpoint was ejected.
+    Ejected {
+        endpoint: String,
+        cause: &'static str,
+    },
+    /// An ejected endpoint is in use again.
+    Restored { endpoint: String },
+    /// An endpoint is leaving.
+    Leaving { endpoint: String },
+}
+
+#[derive(Debug)]
+struct Running {
+    job: Job,
+    endpoint: String,
+    since: Millis,
+}
+
+/// State and decisions of one service on one instance.
+pub struct Pool {
+    domain: String,
+    strategy: Strategy,
+    classes: IndexMap<String, Class>,
+    rules: IndexMap<String, Rule>,
+    limits: IndexMap<String, u32>,
+    queue: Queue,
+    running: IndexMap<JobId, Running>,
+    endpoints: IndexMap<String, Endpoint>,
+    peers: IndexMap<u64, Option<Peer>>,
+    me: u64,
+    budgets: IndexMap<String, Budget>,
+    lengths: Lengths,
+    notices: Vec<Notice>,
+    rng: ChaCha8Rng,
+}
+
+impl Pool {
+    /// An empty pool for the instance `me` in `domain`.
+    pub fn new(me: u64, domain: &str, strategy: Strategy, seed: u64) -> Self {
+        Self {
+            domain: domain.to_owned(),
+            strategy,
+            classes: IndexMap::new(),
+            rules: IndexMap::new(),
+            limits: IndexMap::new(),
+            queue: Queue::default(),
+            running: IndexMap::new(),
+            endpoints: IndexMap::new(),
+            peers: IndexMap::new(),
+            me,
+            budgets: IndexMap::new(),
+            lengths: Lengths::default(),
+            notices: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes over classes and workspace limits of a configuration.
+    pub fn configure(&mut self, classes: &IndexMap<String, Class>, limits: IndexMap<String, u32>) {
+        let rule = |c: &Class| Rule {
+            tier: c.tier,
+            weight: c.params.weight,
+            share: c.params.share,
+        };
+        self.rules = classes.iter().map(|(n, c)| (n.clone(), rule(c))).collect();
+        self.classes = classes.clone();
+        self.limits = limits;
+    }
+
+    /// Takes over the endpoints of the instance list: name, address, domain, leaving. Endpoints
+    /// that are gone are dropped once nothing of ours runs on them.
+    pub fn members(&mut self, list: &[(String, String, String, bool)], slots: u32) {
+        for (name, addr, domain, leaving) in list {
+            let fresh = || Endpoint::new(name, addr, domain, slots);
+            let e = self.endpoints.entry(name.clone()).or_insert_with(fresh);
+            if e.addr != *addr {
+                *e = fresh();
+            }
+            e.slots = slots;
+            if *leaving && !e.leaving {
+                self.notices.push(Notice::Leaving {
+                    endpoint: name.clone(),
+                });
+            }
+            e.leaving |= *leaving;
+        }
+        let listed = |name: &str| list.iter().any(|(n, ..)| n == name);
+        for e in self.endpoints.values_mut() {
+            e.leaving |= !listed(&e.name);
+        }
+        self.endpoints
+            .retain(|name, e| listed(name) || e.running() > 0);
+    }
+
+    /// Takes in an endpoint's load report.
+    pub fn report(&mut self, now: Millis, endpoint: &str, report: Report) {
+        let Some(e) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        let before = e.leaving;
+        e.heard(now, report);
+        if e.leaving && !before {
+            self.notices.push(Notice::Leaving {
+                endpoint: endpoint.to_owned(),
+            });
+        }
+    }
+
+    /// A peer says that the endpoint, in the life `boot`, is leaving.
+    pub fn leaving(&mut self, endpoint: &str, boot: &str) {
+        let Some(e) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        if !e.leaving && (e.boot() == boot || e.boot().is_empty()) {
+            e.leaving = true;
+            self.notices.push(Notice::Leaving {
+                endpoint: endpoint.to_owned(),
+            });
+        }
+    }
+
+    /// Endpoints known to be leaving, with their lives.
+    pub fn leavers(&self) -> Vec<(String, String)> {
+        let leavers = self.endpoints.values().filter(|e| e.leaving);
+        leavers
+            .map(|e| (e.name.clone(), e.boot().to_owned()))
+            .collect()
+    }
+
+    /// Sets which instances share the service, by number; the own one may be among them.
+    pub fn mates(&mut self, listed: &[u64]) {
+        let me = self.me;
+        self.peers.retain(|id, _| listed.contains(id));
+        for id in listed.iter().filter(|id| **id != me) {
+            self.peers.entry(*id).or_insert(None);
+        }
+    }
+
+    /// Takes in a peer's word.
+    pub fn peer(&mut self, now: Millis, id: u64, load: Load) {
+        if id != self.me {
+            self.peers.insert(id, Some(Peer { at: now, load }));
+        }
+    }
+
+    /// A peer said that it has ended.
+    pub fn forget(&mut self, id: u64) {
+        self.peers.swap_remove(&id);
+    }
+
+    fn heard(&self, now: Millis) -> impl Iterator<Item = &Peer> {
+        let fresh = move |p: &&Peer| now.saturating_sub(p.at) <= PEER_MAX_AGE;
+        self.peers.values().flatten().filter(fresh)
+    }
+
+    /// Number of peers that are silent.
+    pub fn silent(&self, now: Millis) -> usize {
+        self.peers.len() - self.heard(now).count()
+    }
+
+    /// The own word for the peers.
+    pub fn load(&self) -> Load {
+        let mut load = Load::default();
+        for class in self.rules.keys() {
+            let counts = (self.running_of(class), self.queue.len(class));
+            if counts != (0, 0) {
+                load.classes.insert(class.clone(), counts);
+            }
+        }
+        for e in self.endpoints.values().filter(|e| e.running() > 0) {
+            load.endpoints.insert(e.name.clone(), e.running());
+        }
+        for workspace in self.limits.keys() {
+            let n = self.running_for(workspace);
+            if n > 0 {
+                load.workspaces.insert(workspace.clone(), n);
+            }
+        }
+        load
+    }
+
+    /// Changes since the last call.
+    pub fn notices(&mut self) -> Vec<Notice> {
+        std::mem::take(&mut self.notices)
+    }
+
+    /// Endpoints as known now.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+
+    /// Number of jobs that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.total()
+    }
+
+    /// Number of jobs that run.
+    pub fn in_flight(&self) -> usize {
+        self.running.len()
+    }
+
+    fn running_of(&self, class: &str) -> u32 {
+        self.running
+            .values()
+            .filter(|r| r.job.class == class)
+            .count() as u32
+    }
+
+    fn running_for(&self, workspace: &str) -> u32 {
+        self.running
+            .values()
+            .filter(|r| r.job.workspace == workspace)
+            .count() as u32
+    }
+
+    fn slots(&self) -> u32 {
+        self.endpoints
+            .values()
+            .filter(|e| e.open())
+            .map(|e| e.slots)
+            .sum()
+    }
+
+    /// A request comes in, for the first time or for another attempt.
+    pub fn arrive(&mut self, now: Millis, job: Job) -> Arrival {
+        let Some(class) = self.classes.get(&job.class) else {
+            return Arrival::Refused(Refusal::NoEndpoint);
+        };
+        let params = class.params;
+        let first = job.avoid.is_empty();
+        if first {
+            self.budgets
+                .entry(job.class.clone())
+                .or_default()
+                .earn(params.retry_ratio);
+        }
+        let hopeless = first && !class.protected && self.strategy == Strategy::Ours;
+        if hopeless && now as f64 + self.expected_wait(now, &job) > job.deadline as f64 {
+            return Arrival::Refused(Refusal::TooLate);
+        }
+        let bound = if first { params.queue } else { u32::MAX };
+        match self.queue.enter(job, bound) {
+            Entered::Waiting => Arrival::Queued,
+            Entered::Displaced(gone) => Arrival::Displaced(gone.id),
+            Entered::Full(job) if self.limited(now, &job.workspace) => {
+                tracing::debug!("pool: workspace {} is at its limit.", job.workspace);
+                Arrival::Refused(Refusal::WorkspaceLimit)
+            }
+            Entered::Full(_) => Arrival::Refused(Refusal::QueueFull),
+        }
+    }
+
+    /// Expected time in milliseconds until a slot is free for one more job of its class.
+    fn expected_wait(&self, now: Millis, job: &Job) -> f64 {
+        let ahead = f64::from(self.queue.len(&job.class));
+        let each = self.lengths.of_class(&job.class);
+        let lanes = f64::from(self.room(&self.quota(now), &job.class).max(1));
+        each * ahead / lanes
+    }
+
+    /// Slots that a class may fill on this instance.
+    fn room(&self, quota: &Quota, class: &str) -> u32 {
+        quota.slots.get(class).copied().unwrap_or(0) + quota.spare
+    }
+
+    /// Takes a retry out of the class's budget; false when none is left.
+    pub fn may_retry(&mut self, class: &str) -> bool {
+        self.budgets.entry(class.to_owned()).or_default().take()
+    }
+
+    /// A waiting job is no longer wanted. Returns false when it was granted before.
+    pub fn cancel(&mut self, job: JobId) -> bool {
+        self.queue.remove(job).is_some()
+    }
+
+    /// A granted job ended.
+    pub fn done(&mut self, now: Millis, job: JobId, outcome: Outcome) {
+        let Some(run) = self.running.swap_remove(&job) else {
+            invariant!(false, "job {job} ended but did not run");
+            return;
+        };
+        if let Outcome::Good { .. } = outcome {
+            let ms = now.saturating_sub(run.since) as f64;
+            self.lengths.learn(&run.job.class, &run.job.workspace, ms);
+        }
+        let ejectable = self.ejectable();
+        let Some(e) = self.endpoints.get_mut(&run.endpoint) else {
+            return;
+        };
+        e.end(&run.job.class, run.job.suspect);
+        let endpoint = run.endpoint;
+        match outcome {
+            Outcome::Good { gap } => {
+                if e.good(gap) {
+                    self.notices.push(Notice::Restored { endpoint });
+                }
+            }
+            Outcome::Bad if e.bad() && ejectable => {
+                e.eject(now, Cause::Faults);
+                self.notices.push(Notice::Ejected {
+                    endpoint,
+                    cause: "faults",
+                });
+            }
+            Outcome::Crashed => {
+                if e.health == Health::Up {
+                    self.notices.push(Notice::Ejected {
+                        endpoint,
+                        cause: "crash",
+                    });
+                }
+                e.eject(now, Cause::Faults);
+            }
+            Outcome::Draining if !e.leaving => {
+                e.leaving = true;
+                self.notices.push(Notice::Leaving { endpoint });
+            }
+            Outcome::Neutral => e.unproven(),
+            Outcome::Bad | Outcome::Draining => {}
+        }
+    }
+
+    /// True when one more endpoint may be ejected.
+    fn ejectable(&self) -> bool {
+        let out = |e: &&Endpoint| e.health != Health::Up;
+        self.endpoints.values().filter(out).count() < self.endpoints.len().div_ceil(EJECT_PART)
+    }
+
+    /// Time passed: probes and stragglers. Call a few times a second.
+    pub fn tick(&mut self, now: Millis) {
+        for e in self.endpoints.values_mut() {
+            e.tick(now);
+        }
+        if self.strategy != Strategy::Ours || !self.ejectable() {
+            return;
+        }
+        let mut speeds: Vec<f64> = self
+            .endpoints
+            .values()
+            .filter_map(Endpoint::speed)
+            .collect();
+        if speeds.len() < 3 {
+            return;
+        }
+        speeds.sort_by(f64::total_cmp);
+        let median = speeds[speeds.len() / 2];
+        let slow = |e: &&mut Endpoint| {
+            e.health == Health::Up && e.speed().is_some_and(|s| s > SLOW_RATIO * median)
+        };
+        if let Some(e) = self.endpoints.values_mut().find(slow) {
+            e.eject(now, Cause::Slow);
+            let endpoint = e.name.clone();
+            self.notices.push(Notice::Ejected {
+                endpoint,
+                cause: "slow",
+            });
+        }
+    }
+
+    /// Own part of the service's slots. Every silent peer keeps an equal part for itself.
+    pub fn quota(&self, now: Millis) -> Quota {
+        let all = self.slots();
+        let reserve = all * self.silent(now) as u32 / (self.peers.len() as u32 + 1);
+        let mut demand: Vec<(u64, Demand)> = vec![(self.me, self.demand())];
+        for (id, peer) in &self.peers {
+            let Some(p) = peer
+                .as_ref()
+                .filter(|p| now.saturating_sub(p.at) <= PEER_MAX_AGE)
+            else {
+                continue;
+            };
+            let sums = p
+                .load
+                .classes
+                .iter()
+                .map(|(c, (run, wait))| (c.clone(), run + wait));
+            demand.push((*id, sums.collect()));
+        }
+        demand.sort_by_key(|(id, _)| *id);
+        let row = demand
+            .iter()
+            .position(|(id, _)| *id == self.me)
+            .unwrap_or(0);
+        let rows: Vec<Demand> = demand.into_iter().map(|(_, d)| d).collect();
+        let mut grid = share::divide(all - reserve, &self.rules, &rows, now / ROTATION);
+        std::mem::take(&mut grid[row])
+    }
+
+    fn demand(&self) -> Demand {
+        let sum = |c: &String| self.running_of(c) + self.queue.len(c);
+        self.rules.keys().map(|c| (c.clone(), sum(c))).collect()
+    }
+
+    fn limited(&self, now: Millis, workspace: &str) -> bool {
+        let Some(limit) = self.limits.get(workspace).copied().filter(|n| *n > 0) else {
+            return false;
+        };
+        let others: u32 = self
+            .heard(now)
+            .map(|p| p.load.workspaces.get(workspace).copied().unwrap_or(0))
+            .sum();
+        let silent = self.silent(now) as u32;
+        let own = limit - limit * silent / (self.peers.len() as u32 + 1);
+        self.running_for(workspace) + others >= own.max(1)
+    }
+
+    /// Decides one thing to do. Call again until it says [`Step::Wait`].
+    pub fn next(&mut self, now: Millis) -> Step {
+        if let Some(job) = self.queue.take_if(|j| j.deadline <= now) {
+            return Step::Refuse(job.id, Refusal::TooLate);
+        }
+        match self.strategy {
+            Strategy::Ours => self.next_ours(now),
+            Strategy::Random | Strategy::Least => self.next_baseline(now),
+        }
+    }
+
+    fn next_baseline(&mut self, now: Millis) -> Step {
+        let Some(job) = self.queue.oldest() else {
+            return Step::Wait;
+        };
+        let open: Vec<&Endpoint> = self
+            .endpoints
+            .values()
+            .filter(|e| e.open() && !job.avoid.contains(&e.name))
+            .collect();
+        let id = job.id;
+        let chosen = match self.strategy {
+            Strategy::Least => open.iter().min_by_key(|e| e.reported()),
+            _ if open.is_empty() => None,
+            _ => open.get(self.rng.random_range(0..open.len())),
+        };
+        let Some(name) = chosen.map(|e| e.name.clone()) else {
+            return Step::Wait;
+        };
+        self.grant(now, id, &name, TOP_PRIORITY, Vec::new())
+    }
+
+    fn next_ours(&mut self, now: Millis) -> Step {
+        if self.queue.total() == 0 {
+            return Step::Wait;
+        }
+        let quota = self.quota(now);
+        for (class, lane) in self.lanes(&quota) {
+            let Some(job) = self.best(now, &class) else {
+                continue;
+            };
+            let (id, priority) = (job.id, self.priority(&class, lane));
+            let Some((name, weighed)) = self.choose(now, &job, lane) else {
+                continue;
+            };
+            return self.grant(now, id, &name, priority, weighed);
+        }
+        Step::Wait
+    }
+
+    /// Best job of a class whose workspace is below its limit.
+    fn best(&self, now: Millis, class: &str) -> Option<Job> {
+        let ranked = self.queue.ranked(class, now, |w| self.running_for(w));
+        ranked
+            .into_iter()
+            .find(|j| !self.limited(now, &j.workspace))
+            .cloned()
+    }
+
+    fn priority(&self, class: &str, lane: Lane) -> u8 {
+        match lane {
+            Lane::Floor => TOP_PRIORITY,
+            Lane::Quota | Lane::Over => self.classes[class].tier,
+        }
+    }
+
+    /// Classes that may start a job now, the most urgent first.
+    fn lanes(&self, quota: &Quota) -> Vec<(String, Lane)> {
+        let part = |map: &IndexMap<String, u32>, class: &str| map.get(class).copied().unwrap_or(0);
+        let excess = |class: &String| {
+            self.running_of(class)
+                .saturating_sub(part(&quota.slots, class))
+        };
+        let spare_used: u32 = self.rules.keys().map(excess).sum();
+        let mut lanes = Vec::new();
+        for (class, rule) in &self.rules {
+            if self.queue.len(class) == 0 {
+                continue;
+            }
+            let running = self.running_of(class);
+            let lane = if running < part(&quota.floor, class) {
+                Lane::Floor
+            } else if running < part(&quota.slots, class) || spare_used < quota.spare {
+                Lane::Quota
+            } else if rule.tier == 0 || self.classes[class].protected {
+                Lane::Over
+            } else {
+                continue;
+            };
+            lanes.push((class.clone(), lane));
+        }
+        lanes.sort_by_cached_key(|(class, lane)| {
+            (
+                *lane == Lane::Over,
+                self.rules[class].tier,
+                self.queue.urgency(class),
+            )
+        });
+        lanes
+    }
+
+    /// Picks an endpoint for a job; the costs weighed come with it.
+    fn choose(&mut self, now: Millis, job: &Job, lane: Lane) -> Option<(String, Weighed)> {
+        let open = self.usable(now, job, lane);
+        if open.is_empty() {
+            return None;
+        }
+        let mean = open.iter().map(|c| c.load).sum::<f64>() / open.len() as f64;
+        let home = open
+            .iter()
+            .filter(|_| job.prefix != 0)
+            .max_by_key(|c| xxh3_64(format!("{}/{}", job.prefix, c.name).as_bytes()))
+            .filter(|c| c.load <= AFFINITY_BOUND * mean)
+            .map(|c| c.name.clone());
+        let mut weighed: Weighed = Vec::with_capacity(DRAWS + 1);
+        if let Some(c) = open.iter().find(|c| Some(&c.name) == home.as_ref()) {
+            weighed.push((c.name.clone(), c.cost - AFFINITY_GAIN));
+        }
+        let first = self.rng.random_range(0..open.len());
+        for c in open.iter().cycle().skip(first).take(DRAWS.min(open.len())) {
+            if Some(&c.name) != home.as_ref() {
+                weighed.push((c.name.clone(), c.cost));
+            }
+        }
+        weighed.sort_by(|a, b| a.1.total_cmp(&b.1));
+        weighed
+            .first()
+            .map(|(name, _)| (name.clone(), weighed.clone()))
+    }
+
+    /// Endpoints that may take the job, with their loads and costs.
+    fn usable(&self, now: Millis, job: &Job, lane: Lane) -> Vec<Candidate> {
+        let whole = self.silent(now) == 0;
+        let mut peers: IndexMap<&str, u32> = IndexMap::new();
+        for (name, n) in self.heard(now).flat_map(|p| &p.load.endpoints) {
+            *peers.entry(name).or_default() += n;
+        }
+        let all_silent = self.endpoints.values().all(|e| e.silent(now));
+        let gaps: Vec<f64> = self
+            .endpoints
+            .values()
+            .filter_map(Endpoint::speed)
+            .collect();
+        let pace = gaps.iter().sum::<f64>() / gaps.len().max(1) as f64;
+        let fits = |e: &&Endpoint| {
+            e.open() && (all_silent || !e.silent(now)) && !(job.suspect && e.suspects > 0)
+        };
+        let mut open: Vec<Candidate> = Vec::new();
+        for e in self.endpoints.values().filter(fits) {
+            let load = e.load(peers.get(e.name.as_str()).copied().unwrap_or(0), whole);
+            if load >= lane.cap(e.slots) {
+                continue;
+            }
+            let filled = f64::from(load + 1) / f64::from(e.slots);
+            let slow = e
+                .speed()
+                .filter(|_| pace > 0.0)
+                .map_or(1.0, |s| (s / pace).max(1.0));
+            let away = if e.domain == self.domain {
+                0.0
+            } else {
+                DOMAIN_COST
+            };
+            let beside = 0.5 * f64::from(e.suspects);
+            open.push(Candidate {
+                name: e.name.clone(),
+                load: f64::from(load) / f64::from(e.slots),
+                cost: filled * slow + away + beside,
+            });
+        }
+        if open.iter().any(|c| !job.avoid.contains(&c.name)) {
+            open.retain(|c| !job.avoid.contains(&c.name));
+        }
+        open
+    }
+
+    fn grant(
+        &mut self,
+        now: Millis,
+        id: JobId,
+        endpoint: &str,
+        priority: u8,
+        weighed: Weighed,
+    ) -> Step {
+        let Some(job) = self.queue.remove(id) else {
+            return Step::Wait;
+        };
+        let e = &mut self.endpoints[endpoint];
+        invariant!(
+            e.open(),
+            "job {id} granted to {endpoint}, which takes no work"
+        );
+        e.start(&job.class, job.suspect);
+        let grant = Grant {
+            job: id,
+            endpoint: endpoint.to_owned(),
+            addr: e.addr.clone(),
+            boot: e.boot().to_owned(),
+            priority,
+            weighed,
+        };
+        self.running.insert(
+            id,
+            Running {
+                job,
+                endpoint: endpoint.to_owned(),
+                since: now,
+            },
+        );
+        Step::Grant(grant)
+    }
+}
+
+/// Endpoints weighed and their costs.
+pub type Weighed = Vec<(String, f64)>;
+
+/// An endpoint that may take a job.
+#[derive(Debug)]
+struct Candidate {
+    name: String,
+    load: f64,
+    cost: f64,
+}
+
+/// On what ground a class may start one more job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Lane {
+    /// Its guaranteed share is not filled.
+    Floor,
+    /// Its part of the slots is not filled.
+    Quota,
+    /// It is urgent and may make an engine preempt patient work.
+    Over,
+}
+
+impl Lane {
+    /// Load up to which an endpoint of `slots` takes a job on this ground.
+    fn cap(self, slots: u32) -> u32 {
+        match self {
+            Self::Floor => slots + 1,
+            Self::Quota => slots,
+            Self::Over => slots + slots.div_ceil(2),
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/queue.rs
@@ -0,0 +1,129 @@
+//! Waiting requests of one service on one instance.
+
+use indexmap::IndexMap;
+
+use super::{Job, JobId};
+use crate::adapter::clock::Millis;
+
+/// Queues by class, each in order of arrival.
+#[derive(Debug, Default)]
+pub struct Queue {
+    classes: IndexMap<String, Vec<Job>>,
+}
+
+/// What happens to a request that comes in.
+#[derive(Debug, PartialEq)]
+pub enum Entered {
+    /// It waits.
+    Waiting,
+    /// It waits, and another of the same class had to go for it.
+    Displaced(Job),
+    /// It had to go itself.
+    Full(Job),
+}
+
+impl Queue {
+    /// Adds a job to its class, which holds `bound` jobs at most. When full, the newest job of
+    /// the workspace that has most waiting goes, so that a burst pays for itself.
+    pub fn enter(&mut self, job: Job, bound: u32) -> Entered {
+        let list = self.classes.entry(job.class.clone()).or_default();
+        if list.len() < bound as usize {
+            list.push(job);
+            return Entered::Waiting;
+        }
+        let mut counts: IndexMap<&str, usize> = IndexMap::new();
+        for j in list.iter() {
+            *counts.entry(j.workspace.as_str()).or_default() += 1;
+        }
+        let own = counts.get(job.workspace.as_str()).copied().unwrap_or(0) + 1;
+        let most = counts
+            .iter()
+            .max_by_key(|(_, n)| **n)
+            .map(|(w, n)| ((*w).to_owned(), *n));
+        match most {
+            Some((workspace, n)) if n > own => {
+                let at = list
+                    .iter()
+                    .rposition(|j| j.workspace == workspace && !j.resumed);
+                let Some(at) = at else {
+                    return Entered::Full(job);
+                };
+                let gone = list.remove(at);
+                list.push(job);
+                Entered::Displaced(gone)
+            }
+            _ => Entered::Full(job),
+        }
+    }
+
+    /// Number of jobs of a class.
+    pub fn len(&self, class: &str) -> u32 {
+        self.classes.get(class).map_or(0, |l| l.len() as u32)
+    }
+
+    /// Number of all jobs.
+    pub fn total(&self) -> usize {
+        self.classes.values().map(Vec::len).sum()
+    }
+
+    /// Removes a job, if it still waits.
+    pub fn remove(&mut self, id: JobId) -> Option<Job> {
+        for list in self.classes.values_mut() {
+            if let Some(i) = list.iter().position(|j| j.id == id) {
+                return Some(list.remove(i));
+            }
+        }
+        None
+    }
+
+    /// Removes and returns one job for which `lost` holds.
+    pub fn take_if(&mut self, lost: impl Fn(&Job) -> bool) -> Option<Job> {
+        for list in self.classes.values_mut() {
+            if let Some(i) = list.iter().position(&lost) {
+                return Some(list.remove(i));
+            }
+        }
+        None
+    }
+
+    /// Jobs of a class, best first: resumed ones, then those of the workspace that runs least,
+    /// then those that can still meet their target, the earliest first.
+    pub fn ranked(&self, class: &str, now: Millis, running: impl Fn(&str) -> u32) -> Vec<&Job> {
+        let Some(list) = self.classes.get(class) else {
+            return Vec::new();
+        };
+        let mut jobs: Vec<&Job> = list.iter().collect();
+        jobs.sort_by_cached_key(|j| {
+            let late = j.target < now;
+            (
+                !j.resumed,
+                running(&j.workspace),
+                late,
+                if late { j.deadline } else { j.target },
+            )
+        });
+        jobs
+    }
+
+    /// The job that came first of all classes.
+    pub fn oldest(&self) -> Option<&Job> {
+        self.classes
+            .values()
+            .flatten()
+            .min_by_key(|j| (j.arrived, j.id))
+    }
+
+    /// Earliest target of a class.
+    pub fn urgency(&self, class: &str) -> Millis {
+        let list = self.classes.get(class);
+        list.and_then(|l| l.iter().map(|j| j.target).min())
+            .unwrap_or(Millis::MAX)
+    }
+
+    /// Time of arrival of the job of a class that waits longest.
+    pub fn since(&self, class: &str) -> Option<Millis> {
+        self.classes
+            .get(class)
+            .and_then(|l| l.iter().map(|j| j.arrived).min())
+    }
+}
--- /dev/null
+++ b/src/policy/share.rs
@@ -0,0 +1,169 @@
+//! Divides the slots of a service among classes and entry instances.
+//!
+//! Every instance computes the same grid from the same view, so no coordinator is needed.
+//! Guaranteed shares come first, then tiers from the most urgent, by weight inside a tier.
+
+use indexmap::IndexMap;
+
+/// How long one order of instances holds when units can't be split evenly, in milliseconds.
+pub const ROTATION: u64 = 5_000;
+
+/// What the division needs to know of a class.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Rule {
+    /// Order of its tier; 0 is the most urgent.
+    pub tier: u8,
+    /// Weight inside the tier.
+    pub weight: u32,
+    /// Guaranteed fraction of the slots.
+    pub share: f64,
+}
+
+/// Requests of one class on one instance, running and queued.
+pub type Demand = IndexMap<String, u32>;
+
+/// What one instance may run.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Quota {
+    /// Slots by class.
+    pub slots: IndexMap<String, u32>,
+    /// Part of `slots` that is guaranteed.
+    pub floor: IndexMap<String, u32>,
+    /// Slots that any class may use.
+    pub spare: u32,
+}
+
+/// Divides `slots` among the classes of `rules` over the instances of `demand`.
+///
+/// `turn` rotates which instance gets a unit that can't be split. The grid holds one row for
+/// each instance of `demand`, in its order.
+pub fn divide(
+    slots: u32,
+    rules: &IndexMap<String, Rule>,
+    demand: &[Demand],
+    turn: u64,
+) -> Vec<Quota> {
+    let mut grid = vec![Quota::default(); demand.len()];
+    if demand.is_empty() {
+        return grid;
+    }
+    let total = |class: &str| {
+        demand
+            .iter()
+            .map(|d| d.get(class).copied().unwrap_or(0))
+            .sum::<u32>()
+    };
+    let floors = floors(slots, rules, total);
+    let grants = grants(slots, rules, &floors, total);
+    for (i, class) in rules.keys().enumerate() {
+        let wants: Vec<u32> = demand
+            .iter()
+            .map(|d| d.get(class).copied().unwrap_or(0))
+            .collect();
+        let by_class = turn.wrapping_add(i as u64);
+        for (row, n) in spread(grants[class], &wants, by_class)
+            .into_iter()
+            .enumerate()
+        {
+            grid[row].slots.insert(class.clone(), n);
+        }
+        for (row, n) in spread(floors[class], &wants, by_class)
+            .into_iter()
+            .enumerate()
+        {
+            grid[row].floor.insert(class.clone(), n);
+        }
+    }
+    let used: u32 = grants.values().sum();
+    let open = vec![slots; demand.len()];
+    for (row, n) in spread(slots.saturating_sub(used), &open, turn)
+        .into_iter()
+        .enumerate()
+    {
+        grid[row].spare = n;
+    }
+    grid
+}
+
+/// Guaranteed slots of each class that its demand can fill, at least one where any are left.
+fn floors(
+    slots: u32,
+    rules: &IndexMap<String, Rule>,
+    total: impl Fn(&str) -> u32,
+) -> IndexMap<String, u32> {
+    let mut left = slots;
+    let mut order: Vec<(&String, &Rule)> = rules.iter().collect();
+    order.sort_by_key(|(_, r)| r.tier);
+    let mut map = IndexMap::new();
+    for (class, rule) in order {
+        let share = (f64::from(slots) * rule.share).floor() as u32;
+        let n = share.max(1).min(total(class)).min(left);
+        left -= n;
+        map.insert(class.clone(), n);
+    }
+    map
+}
+
+/// Slots of each class: its floor, and the rest by tier and weight.
+fn grants(
+    slots: u32,
+    rules: &IndexMap<String, Rule>,
+    floors: &IndexMap<String, u32>,
+    total: impl Fn(&str) -> u32,
+) -> IndexMap<String, u32> {
+    let mut grants = floors.clone();
+    let mut left = slots - floors.values().sum::<u32>().min(slots);
+    let last = rules.values().map(|r| r.tier).max().unwrap_or(0);
+    for tier in 0..=last {
+        let mut open: Vec<(&str, u32, u32)> = rules
+            .iter()
+            .filter(|(_, r)| r.tier == tier)
+            .map(|(c, r)| (c.as_str(), r.weight, total(c).saturating_sub(floors[c])))
+            .collect();
+        open.retain(|(_, _, want)| *want > 0);
+        left = fill(left, &mut open, &mut grants);
+    }
+    grants
+}
+
+/// Weighted max-min division of `left` among `open`; returns what nobody wanted.
+fn fill(
+    mut left: u32,
+    open: &mut Vec<(&str, u32, u32)>,
+    grants: &mut IndexMap<String, u32>,
+) -> u32 {
+    while left > 0 && !open.is_empty() {
+        let weights: u32 = open.iter().map(|(_, w, _)| w).sum();
+        let round = left;
+        for (class, weight, want) in open.iter_mut() {
+            let part = (u64::from(round) * u64::from(*weight) / u64::from(weights)) as u32;
+            let n = part.max(1).min(*want).min(left);
+            grants[*class] += n;
+            *want -= n;
+            left -= n;
+        }
+        open.retain(|(_, _, want)| *want > 0);
+    }
+    left
+}
+
+/// Max-min division of `units` over `wants`; `turn` picks who comes first.
+pub fn spread(units: u32, wants: &[u32], turn: u64) -> Vec<u32> {
+    let mut out = vec![0; wants.len()];
+    let mut left = units;
+    let first = (turn % wants.len().max(1) as u64) as usize;
+    let mut open: Vec<usize> = (0..wants.len())
+        .map(|i| (i + first) % wants.len())
+        .collect();
+    open.retain(|i| wants[*i] > 0);
+    while left > 0 && !open.is_empty() {
+        let part = (left / open.len() as u32).max(1);
+        for i in &open {
+            let n = part.min(wants[*i] - out[*i]).min(left);
+            out[*i] += n;
+            left -= n;
+        }
+        open.retain(|i| out[*i] < wants[*i]);
+    }
+    out
+}
--- /dev/null
+++ b/src/standin/plain.rs
@@ -0,0 +1,147 @@
+//! Plain service that counts every execution of every operation.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use indexmap::IndexMap;
+
+use super::{json, serve};
+use crate::adapter::clock::Clock;
+use crate::adapter::serve::{Reply, Request, Server};
+use crate::policy::endpoint::Report;
+
+/// Header that names an operation for the count.
+pub const OPERATION: &str = "x-operation";
+
+/// Execution counts of a whole service, shared by its endpoints.
+#[derive(Debug, Default)]
+pub struct Counts(Mutex<IndexMap<String, u64>>);
+
+impl Counts {
+    fn lock(&self) -> MutexGuard<'_, IndexMap<String, u64>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How often an operation was executed.
+    pub fn of(&self, operation: &str) -> u64 {
+        self.lock().get(operation).copied().unwrap_or(0)
+    }
+
+    /// All counts.
+    pub fn all(&self) -> IndexMap<String, u64> {
+        self.lock().clone()
+    }
+
+    fn add(&self, operation: &str) -> u64 {
+        let mut map = self.lock();
+        let n = map.entry(operation.to_owned()).or_default();
+        *n += 1;
+        *n
+    }
+}
+
+/// One endpoint of a plain service.
+pub struct PlainStandin {
+    name: String,
+    clock: Clock,
+    counts: Arc<Counts>,
+    took: AtomicU64,
+    running: AtomicU32,
+    draining: AtomicBool,
+    down: AtomicBool,
+    /// Requests received after it began to drain.
+    late: AtomicU64,
+}
+
+impl PlainStandin {
+    /// An endpoint whose operations take `took` milliseconds.
+    pub fn new(clock: Clock, name: &str, counts: Arc<Counts>, took: u64) -> Arc<Self> {
+        Arc::new(Self {
+            name: name.to_owned(),
+            clock,
+            counts,
+            took: AtomicU64::new(took),
+            running: AtomicU32::new(0),
+            draining: AtomicBool::new(false),
+            down: AtomicBool::new(false),
+            late: AtomicU64::new(0),
+        })
+    }
+
+    /// Serves on `addr`.
+    pub fn serve(self: &Arc<Self>, addr: SocketAddr) -> io::Result<Server> {
+        let plain = Arc::clone(self);
+        serve(addr, move |request, reply| plain.handle(&request, reply))
+    }
+
+    /// Sets how long an operation takes, in milliseconds.
+    pub fn set_took(&self, ms: u64) {
+        self.took.store(ms, Ordering::SeqCst);
+    }
+
+    /// Sets whether its load report says that it is leaving.
+    pub fn set_draining(&self, on: bool) {
+        self.draining.store(on, Ordering::SeqCst);
+    }
+
+    /// Makes it drop every connection.
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::SeqCst);
+    }
+
+    /// Requests received after it began to drain.
+    pub fn late(&self) -> u64 {
+        self.late.load(Ordering::SeqCst)
+    }
+
+    /// Requests it runs now.
+    pub fn running(&self) -> u32 {
+        self.running.load(Ordering::SeqCst)
+    }
+
+    fn handle(&self, request: &Request, reply: &mut Reply<'_>) {
+        if self.down.load(Ordering::SeqCst) {
+            return reply.abort();
+        }
+        if request.path == "/load" {
+            let report = Report {
+                boot: self.name.clone(),
+                running: self.running(),
+                waiting: 0,
+                draining: self.draining.load(Ordering::SeqCst),
+                age: 0,
+            };
+            return json(reply, 200, &serde_json::json!(report));
+        }
+        if self.draining.load(Ordering::SeqCst) {
+            self.late.fetch_add(1, Ordering::SeqCst);
+        }
+        let named = request.header(OPERATION).map(str::to_owned);
+        let operation = named.unwrap_or_else(|| {
+            format!(
+                "{} {} {}",
+                request.method,
+                request.path,
+                String::from_utf8_lossy(&request.body)
+            )
+        });
+        self.running.fetch_add(1, Ordering::SeqCst);
+        let count = self.counts.add(&operation);
+        self.clock.sleep(self.took.load(Ordering::SeqCst));
+        self.running.fetch_sub(1, Ordering::SeqCst);
+        if self.down.load(Ordering::SeqCst) {
+            return reply.abort();
+        }
+        let body = serde_json::json!({
+            "operation": operation,
+            "count": count,
+            "by": self.name,
+            "method": request.method,
+            "path": request.path,
+            "query": request.query,
+        });
+        json(reply, 200, &body);
+    }
+}
--- /dev/null
+++ b/src/standin/world.rs
@@ -0,0 +1,285 @@
+//! A set of stand-ins read from one INI file, with a control server that switches faults.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use serde_json::json;
+
+use super::engine::{EngineStandin, Shape};
+use super::list::ListStandin;
+use super::log::LogStandin;
+use super::plain::{Counts, PlainStandin};
+use super::proxy::{self, ProxyStandin};
+use super::{json as send_json, number, param, serve};
+use crate::adapter::clock::Clock;
+use crate::adapter::list::{Instance, Phase, Role};
+use crate::adapter::serve::{Reply, Request};
+use crate::config::Findings;
+use crate::config::ini::{self, Section, Span};
+
+/// What to start, as read from the file.
+#[derive(Debug, Default)]
+pub struct Plan {
+    control: Option<SocketAddr>,
+    log: Option<(SocketAddr, u64, f64)>,
+    list: Option<(SocketAddr, u64)>,
+    engines: Vec<(Instance, SocketAddr, Shape)>,
+    plains: Vec<(Instance, SocketAddr, u64)>,
+    entries: Vec<Instance>,
+    proxies: Vec<(String, SocketAddr, SocketAddr)>,
+}
+
+impl Plan {
+    /// Reads a plan.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        let mut out = Findings::new(file);
+        let sections = ini::parse(text, &mut out);
+        let mut plan = Self::default();
+        for s in &sections {
+            plan.section(s, &mut out);
+            s.rest(&mut out);
+        }
+        out.finish(plan)
+    }
+
+    fn section(&mut self, s: &Section, out: &mut Findings) {
+        let span =
+            |key: &str, or: u64, out: &mut Findings| s.read::<Span>(key, out).map_or(or, |v| v.0);
+        match s.kind.as_str() {
+            "control" => self.control = addr(s, "listen", out),
+            "log" => {
+                let retention = span("retention", 3_600_000, out);
+                let rate = s.read("appends", out).unwrap_or(300.0);
+                self.log = addr(s, "listen", out).map(|a| (a, retention, rate));
+            }
+            "list" => {
+                let lag = span("lag", 1_000, out);
+                self.list = addr(s, "listen", out).map(|a| (a, lag));
+            }
+            "engine" => {
+                let shape = Shape {
+                    slots: s.read("slots", out).unwrap_or(8),
+                    step: span("step", 20, out),
+                    prefill: s.read("prefill_us", out).unwrap_or(500),
+                    lag: span("lag", 300, out),
+                    restart: span("restart", 2_000, out),
+                };
+                if let Some(a) = addr(s, "listen", out) {
+                    self.engines
+                        .push((instance(s, Role::Endpoint, out), a, shape));
+                }
+            }
+            "plain" => {
+                let took = span("took", 20, out);
+                if let Some(a) = addr(s, "listen", out) {
+                    self.plains
+                        .push((instance(s, Role::Endpoint, out), a, took));
+                }
+            }
+            "entry" => {
+                let row = instance(s, Role::Entry, out);
+                self.entries.push(row);
+            }
+            "proxy" => {
+                if let (Some(a), Some(t)) = (addr(s, "listen", out), addr(s, "target", out)) {
+                    self.proxies.push((s.name.clone(), a, t));
+                }
+            }
+            _ => out.add(s.line, &s.title(), "unknown section"),
+        }
+    }
+}
+
+fn addr(s: &Section, key: &str, out: &mut Findings) -> Option<SocketAddr> {
+    if s.get(key).is_none() {
+        out.add(s.line, key, format!("missing in [{}]", s.title()));
+    }
+    s.read(key, out)
+}
+
+fn instance(s: &Section, role: Role, out: &mut Findings) -> Instance {
+    let listen = s.get("listen").map_or(String::new(), |v| v.text.clone());
+    let service = match role {
+        Role::Endpoint => s.need("service", out),
+        Role::Entry => String::new(),
+    };
+    let admin = match role {
+        Role::Endpoint => String::new(),
+        Role::Entry => s.need("admin", out),
+    };
+    Instance {
+        name: s.name.clone(),
+        role,
+        service,
+        domain: s.need("domain", out),
+        addr: s.get("via").map_or(listen, |v| v.text.clone()),
+        admin,
+        phase: Phase::Live,
+    }
+}
+
+/// Stand-ins that run.
+pub struct World {
+    /// The log.
+    pub log: Option<Arc<LogStandin>>,
+    /// The instance list.
+    pub list: Option<Arc<ListStandin>>,
+    /// Engines by name.
+    pub engines: IndexMap<String, Arc<EngineStandin>>,
+    /// Plain endpoints by name.
+    pub plains: IndexMap<String, Arc<PlainStandin>>,
+    /// Execution counts of all plain services.
+    pub counts: Arc<Counts>,
+    /// Proxies by name.
+    pub proxies: IndexMap<String, Arc<ProxyStandin>>,
+}
+
+impl World {
+    /// Starts everything in the plan.
+    pub fn start(plan: Plan, clock: &Clock) -> io::Result<Arc<Self>> {
+        let mut rows: Vec<Instance> = plan.entries;
+        rows.extend(plan.engines.iter().map(|(i, ..)| i.clone()));
+        rows.extend(plan.plains.iter().map(|(i, ..)| i.clone()));
+        let counts = Arc::new(Counts::default());
+        let mut world = Self {
+            log: None,
+            list: None,
+            engines: IndexMap::new(),
+            plains: IndexMap::new(),
+            counts: Arc::clone(&counts),
+            proxies: IndexMap::new(),
+        };
+        if let Some((addr, retention, rate)) = plan.log {
+            let log = LogStandin::new(clock.clone(), retention, rate);
+            log.serve(addr)?;
+            world.log = Some(log);
+        }
+        if let Some((addr, lag)) = plan.list {
+            let list = ListStandin::new(clock.clone(), lag, rows);
+            list.serve(addr)?;
+            world.list = Some(list);
+        }
+        for (row, addr, shape) in plan.engines {
+            let engine = EngineStandin::new(clock.clone(), &row.name, shape);
+            engine.serve(addr)?;
+            world.engines.insert(row.name, engine);
+        }
+        for (row, addr, took) in plan.plains {
+            let plain = PlainStandin::new(clock.clone(), &row.name, Arc::clone(&counts), took);
+            plain.serve(addr)?;
+            world.plains.insert(row.name, plain);
+        }
+        for (name, addr, target) in plan.proxies {
+            let proxy = ProxyStandin::start(clock.clone(), addr, target)?;
+            world.proxies.insert(name, proxy);
+        }
+        let world = Arc::new(world);
+        if let Some(addr) = plan.control {
+            let inner = Arc::clone(&world);
+            serve(addr, move |request, reply| inner.control(&request, reply))?;
+        }
+        Ok(world)
+    }
+
+    fn control(&self, request: &Request, reply: &mut Reply<'_>) {
+        let name = param(request, "name").unwrap_or("");
+        let done = match request.path.as_str() {
+            "/counts" => return send_json(reply, 200, &json!(self.counts.all())),
+            "/totals" => return send_json(reply, 200, &self.totals()),
+            "/log" => self.log.as_ref().is_some_and(|log| log.control(request)),
+            "/list" => self
+                .list
+                .as_ref()
+                .is_some_and(|list| list_control(list, name, request)),
+            "/engine" => self
+                .engines
+                .get(name)
+                .is_some_and(|e| engine_control(e, request)),
+            "/plain" => self
+                .plains
+                .get(name)
+                .is_some_and(|p| plain_control(p, request)),
+            "/proxy" => self
+                .proxies
+                .get(name)
+                .is_some_and(|p| proxy_control(p, request)),
+            _ => false,
+        };
+        let status = if done { 200 } else { 404 };
+        send_json(reply, status, &json!({ "done": done }));
+    }
+
+    fn totals(&self) -> serde_json::Value {
+        let engines: IndexMap<&str, _> = self
+            .engines
+            .iter()
+            .map(|(n, e)| (n.as_str(), e.totals()))
+            .collect();
+        let log = self.log.as_ref().map(|l| l.counts()).unwrap_or_default();
+        json!({ "engines": engines, "appends": log.0, "reads": log.1 })
+    }
+}
+
+fn list_control(list: &ListStandin, name: &str, request: &Request) -> bool {
+    match param(request, "phase") {
+        Some("live") => list.set_phase(name, Phase::Live),
+        Some("leaving") => list.set_phase(name, Phase::Leaving),
+        Some("gone") => {
+            list.remove(name);
+            true
+        }
+        _ => {
+            if let Some(down) = param(request, "down") {
+                list.set_down(down == "yes");
+                return true;
+            }
+            list.set_lag(number(request, "lag", 1_000));
+            true
+        }
+    }
+}
+
+fn engine_control(engine: &EngineStandin, request: &Request) -> bool {
+    match param(request, "fault") {
+        Some("crash") => engine.crash(),
+        Some("slow") => engine.set_slow(number(request, "ratio", 4)),
+        Some("draining") => engine.set_draining(true),
+        Some("crossed") => engine.set_crossed(true),
+        Some("none") => {
+            engine.set_slow(1);
+            engine.set_draining(false);
+            engine.set_crossed(false);
+        }
+        _ => return false,
+    }
+    true
+}
+
+fn plain_control(plain: &PlainStandin, request: &Request) -> bool {
+    match param(request, "fault") {
+        Some("down") => plain.set_down(true),
+        Some("slow") => plain.set_took(number(request, "ms", 1_000)),
+        Some("draining") => plain.set_draining(true),
+        Some("none") => {
+            plain.set_down(false);
+            plain.set_draining(false);
+        }
+        _ => return false,
+    }
+    true
+}
+
+fn proxy_control(proxy: &ProxyStandin, request: &Request) -> bool {
+    let fault = match param(request, "fault") {
+        Some("none") => proxy::Fault::None,
+        Some("cut") => proxy::Fault::Cut,
+        Some("freeze") => proxy::Fault::Freeze,
+        Some("cut_answers") => proxy::Fault::CutAnswers,
+        Some("delay") => proxy::Fault::Delay(number(request, "ms", 100)),
+        _ => return false,
+    };
+    proxy.set_fault(fault);
+    true
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,425 @@
+//! A fleet on loopback for tests: stand-ins in this process, entry instances as real processes,
+//! and a faulty proxy before each of their neighbours.
+#![allow(dead_code, clippy::unwrap_used, clippy::expect_used)]
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use sassafrasworks::adapter::clock::Clock;
+use sassafrasworks::adapter::http::Client;
+use sassafrasworks::config::fleet::token_hash;
+use sassafrasworks::load::client::{Ask, Got};
+use sassafrasworks::standin::engine::EngineStandin;
+use sassafrasworks::standin::log::LogStandin;
+use sassafrasworks::standin::plain::PlainStandin;
+use sassafrasworks::standin::proxy::{Fault, ProxyStandin};
+use sassafrasworks::standin::world::{Plan, World};
+use serde_json::Value;
+
+pub const TOKEN: &str = "recife-secret";
+pub const DOMAINS: [&str; 3] = ["recife", "caruaru", "joao-pessoa"];
+/// Bound on any wait of a test.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Names each case of a table: one test function for each row.
+#[macro_export]
+macro_rules! cases {
+    ($run:ident: $($name:ident => $input:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                $run($input);
+            }
+        )+
+    };
+}
+
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+/// Waits until `done` holds; panics with `what` after the bound.
+pub fn until(what: &str, mut done: impl FnMut() -> bool) {
+    until_within(what, PATIENCE, &mut done);
+}
+
+/// Waits until `done` holds, at most `limit`.
+pub fn until_within(what: &str, limit: Duration, done: &mut dyn FnMut() -> bool) {
+    let clock = Clock::system();
+    let start = Instant::now();
+    while !done() {
+        assert!(start.elapsed() < limit, "not in time: {what}");
+        clock.sleep(20);
+    }
+}
+
+/// Lets time pass where the passing of time itself is the event.
+pub fn pass(ms: u64) {
+    Clock::system().sleep(ms);
+}
+
+/// A configuration for tests. `more` is appended.
+pub fn document(base: u64, author: &str, more: &str) -> String {
+    let hash = token_hash(TOKEN);
+    format!(
+        "[fleet]\nbase = {base}\nauthor = {author}\nreviewer = tomas\nreason = a test\n\
+         [defaults]\ndeadline = 20s\nclaim_window = 10m\n\
+         [tier counter]\norder = 0\n[tier urgent]\norder = 1\n[tier steady]\norder = 2\n\
+         [tier patient]\norder = 3\n\
+         [class stock-lookup]\ntier = counter\nprotected = yes\nshare = 0.1\n\
+         [class booking]\ntier = counter\nprotected = yes\nidempotent = no\nshare = 0.1\n\
+         [class chat]\ntier = urgent\nshare = 0.1\n\
+         [class layout]\ntier = steady\nshare = 0.1\n\
+         [class assessment]\ntier = patient\nshare = 0.1\ndeadline = 60s\n\
+         [class order]\ntier = urgent\nidempotent = no\n\
+         [service spine]\nkind = engine\nslots = 4\nmodels = spine-1\n\
+         [service orders]\nkind = plain\nslots = 16\nread_class = stock-lookup\n\
+         write_class = booking\n\
+         [workspace recife]\ntoken = sha256:{hash}\nclass = chat\n{more}"
+    )
+}
+
+/// What to start.
+pub struct Shape {
+    pub entries: usize,
+    pub engines: usize,
+    pub plains: usize,
+    pub slots: usize,
+    pub step: u64,
+    pub took: u64,
+    pub retention: u64,
+    pub list_lag: u64,
+    pub more: String,
+    pub set: Vec<String>,
+    pub publish: bool,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            entries: 3,
+            engines: 2,
+            plains: 2,
+            slots: 4,
+            step: 5,
+            took: 20,
+            retention: 3_600_000,
+            list_lag: 100,
+            more: String::new(),
+            set: Vec::new(),
+            publish: true,
+        }
+    }
+}
+
+/// One entry instance.
+pub struct Instance {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub admin: SocketAddr,
+    set: Vec<String>,
+    dir: PathBuf,
+    child: Option<Child>,
+}
+
+impl Instance {
+    /// Starts its process.
+    pub fn start(&mut self) {
+        let file = self.dir.join("entry.ini");
+        let log = std::fs::File::create(self.dir.join(format!("{}.log", self.name))).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sassafras-entry"));
+        command.arg(file).stderr(log).stdout(Stdio::null());
+        for pair in &self.set {
+            command.arg("--set").arg(pair);
+        }
+        self.child = Some(command.spawn().unwrap());
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(self.child.as_ref().unwrap());
+        kill_process(pid, signal).unwrap();
+    }
+
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks it to end gracefully.
+    pub fn term(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    /// Exit code once it has ended.
+    pub fn ended(&mut self) -> Option<i32> {
+        self.child
+            .as_mut()
+            .unwrap()
+            .try_wait()
+            .unwrap()
+            .map(|s| s.code().unwrap_or(-1))
+    }
+
+    pub fn ask(&self) -> Ask {
+        Ask::new(&self.listen.to_string(), TOKEN)
+    }
+
+    pub fn status(&self) -> Option<Value> {
+        Client::new(1_000)
+            .get_json(&format!("http://{}/status", self.admin))
+            .ok()
+    }
+
+    pub fn version(&self) -> u64 {
+        self.status()
+            .and_then(|s| s["version"].as_u64())
+            .unwrap_or(0)
+    }
+
+    pub fn ready(&self) -> bool {
+        Client::new(1_000)
+            .get(&format!("http://{}/readyz", self.listen))
+            .is_ok()
+    }
+
+    pub fn metrics(&self) -> String {
+        let page = Client::new(1_000).get(&format!("http://{}/metrics", self.admin));
+        String::from_utf8(page.unwrap_or_default()).unwrap()
+    }
+
+    /// Its log output so far.
+    pub fn output(&self) -> String {
+        std::fs::read_to_string(self.dir.join(format!("{}.log", self.name))).unwrap_or_default()
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            kill_process(Pid::from_child(&child), Signal::CONT).ok();
+            child.kill().ok();
+            child.wait().ok();
+        }
+    }
+}
+
+/// The fleet and its surroundings.
+pub struct Rig {
+    pub world: Arc<World>,
+    pub entries: Vec<Instance>,
+    pub log_addr: SocketAddr,
+    pub dir: PathBuf,
+}
+
+impl Rig {
+    pub fn start(shape: &Shape) -> Self {
+        let dir = std::env::temp_dir().join(format!("sassafras-{}", uuid::Uuid::new_v4()));
+        std::fs::create_dir_all(&dir).unwrap();
+        std::fs::write(dir.join("entry.ini"), "[entry]\n").unwrap();
+        let (log, list) = (free(), free());
+        let mut plan = format!(
+            "[log]\nlisten = {log}\nretention = {}ms\nappends = 300\n[list]\nlisten = {list}\nlag = {}ms\n",
+            shape.retention, shape.list_lag
+        );
+        let mut entries = Vec::new();
+        for i in 0..shape.entries {
+            let (listen, admin, log_via, admin_via) = (free(), free(), free(), free());
+            let (name, domain) = (format!("e{}", i + 1), DOMAINS[i % 3]);
+            plan += &format!(
+                "[entry {name}]\ndomain = {domain}\nlisten = {listen}\nadmin = {admin_via}\n\
+                 [proxy log-{name}]\nlisten = {log_via}\ntarget = {log}\n\
+                 [proxy admin-{name}]\nlisten = {admin_via}\ntarget = {admin}\n"
+            );
+            let mut set = vec![
+                format!("name={name}"),
+                format!("domain={domain}"),
+                format!("listen={listen}"),
+                format!("admin={admin}"),
+                format!("log={log_via}"),
+                format!("list={list}"),
+                "gossip=100ms".to_owned(),
+                "poll=100ms".to_owned(),
+                "linger=200ms".to_owned(),
+            ];
+            set.extend(shape.set.iter().cloned());
+            entries.push(Instance {
+                name,
+                listen,
+                admin,
+                set,
+                dir: dir.clone(),
+                child: None,
+            });
+        }
+        for i in 0..shape.engines {
+            let (listen, via, domain) = (free(), free(), DOMAINS[i % 3]);
+            plan += &format!(
+                "[engine engine-{0}]\nservice = spine\ndomain = {domain}\nlisten = {listen}\n\
+                 via = {via}\nslots = {1}\nstep = {2}ms\nprefill_us = 100\nlag = 50ms\n\
+                 restart = 500ms\n[proxy engine-{0}]\nlisten = {via}\ntarget = {listen}\n",
+                i + 1,
+                shape.slots,
+                shape.step
+            );
+        }
+        for i in 0..shape.plains {
+            let (listen, via, domain) = (free(), free(), DOMAINS[i % 3]);
+            plan += &format!(
+                "[plain orders-{0}]\nservice = orders\ndomain = {domain}\nlisten = {listen}\n\
+                 via = {via}\ntook = {1}ms\n[proxy orders-{0}]\nlisten = {via}\ntarget = {listen}\n",
+                i + 1,
+                shape.took
+            );
+        }
+        let plan = Plan::parse("plan", &plan).unwrap();
+        let world = World::start(plan, &Clock::system()).unwrap();
+        let mut rig = Self {
+            world,
+            entries,
+            log_addr: log,
+            dir,
+        };
+        if shape.publish {
+            rig.publish(&document(0, "ines", &shape.more)).unwrap();
+        }
+        for entry in &mut rig.entries {
+            entry.start();
+        }
+        if shape.publish {
+            until("instances are ready", || {
+                rig.entries.iter().all(Instance::ready)
+            });
+            until("peers are heard", || {
+                rig.entries.iter().all(|e| rig.hears_all(e))
+            });
+        }
+        rig
+    }
+
+    /// True when the instance has heard all others and knows its endpoints.
+    pub fn hears_all(&self, entry: &Instance) -> bool {
+        let Some(status) = entry.status() else {
+            return false;
+        };
+        let peers = status["peers"].as_array().map_or(0, Vec::len);
+        let reported = status["services"].as_array().is_some_and(|s| {
+            s.iter()
+                .all(|s| s["endpoints"].as_array().is_some_and(|e| !e.is_empty()))
+        });
+        peers + 1 >= self.entries.len() && reported
+    }
+
+    /// Publishes a document through the operators' command line.
+    pub fn publish(&self, text: &str) -> Result<String, (i32, String)> {
+        let file = self.dir.join(format!("{}.ini", uuid::Uuid::new_v4()));
+        std::fs::write(&file, text).unwrap();
+        let out = self.ctl(&[
+            "publish",
+            file.to_str().unwrap(),
+            "--log",
+            &self.log_addr.to_string(),
+        ]);
+        let text = |b: &[u8]| String::from_utf8_lossy(b).into_owned();
+        match out.status.code() {
+            Some(0) => Ok(text(&out.stdout)),
+            code => Err((code.unwrap_or(-1), text(&out.stderr))),
+        }
+    }
+
+    pub fn ctl(&self, args: &[&str]) -> Output {
+        Command::new(env!("CARGO_BIN_EXE_sassafras-ctl"))
+            .args(args)
+            .output()
+            .unwrap()
+    }
+
+    pub fn log(&self) -> &LogStandin {
+        self.world.log.as_ref().unwrap()
+    }
+
+    pub fn engine(&self, name: &str) -> &EngineStandin {
+        &self.world.engines[name]
+    }
+
+    pub fn plain(&self, name: &str) -> &PlainStandin {
+        &self.world.plains[name]
+    }
+
+    pub fn proxy(&self, name: &str) -> &ProxyStandin {
+        &self.world.proxies[name]
+    }
+
+    /// Switches a fault on every proxy whose name starts with `prefix`.
+    pub fn proxies(&self, prefix: &str, fault: Fault) {
+        for (_, p) in self
+            .world
+            .proxies
+            .iter()
+            .filter(|(n, _)| n.starts_with(prefix))
+        {
+            p.set_fault(fault);
+        }
+    }
+
+    /// Sends a booking with a key through an instance. A call that breaks has no status.
+    pub fn book(&self, entry: usize, key: &str) -> Got {
+        let ask = self.entries[entry]
+            .ask()
+            .key(key)
+            .header("x-operation", key);
+        ask.send("POST", "/svc/orders/bookings", b"{\"crew\":7}")
+            .unwrap_or_default()
+    }
+
+    /// How often an operation was executed.
+    pub fn count(&self, operation: &str) -> u64 {
+        self.world.counts.of(operation)
+    }
+
+    /// Panics unless every instance that answers has seen no invariant violation.
+    pub fn unharmed(&self) {
+        for entry in &self.entries {
+            if let Some(status) = entry.status() {
+                assert_eq!(
+                    status["violations"],
+                    0,
+                    "{}: {}",
+                    entry.name,
+                    entry.output()
+                );
+            }
+        }
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            for entry in &self.entries {
+                let output = entry.output();
+                let tail: Vec<&str> = output.lines().rev().take(15).collect();
+                eprintln!("--- {}", entry.name);
+                tail.iter().rev().for_each(|l| eprintln!("{l}"));
+            }
+        }
+        self.entries.clear();
+        std::fs::remove_dir_all(&self.dir).ok();
+    }
+}
