--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A fleet on loopback for tests: stand-ins in this process, entry instances as real processes,
 //! and a faulty proxy before each of their neighbours.
-#![allow(dead_code, clippy::unwrap_used, clippy::expect_used)]
+#![allow(dead_code, unreachable_pub, clippy::unwrap_used, clippy::expect_used)]
 
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
