Prove that a keyed request runs at most once under failure

Cause: the claim's path was untested under kills, freezes, cuts and log faults. Found: an instance cut off from the log could deny a key that a newcomer it did not know had run; an instance now takes keys only once every peer has met it or the list must show it. A claimant that wakes after its deadline now sends nothing.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -11,6 +11,7 @@
 use crate::adapter::clock::Millis;
 use crate::adapter::endpoint::Fault;
 use crate::config::Params;
+use crate::mechanism::{self, Mechanism};
 use crate::policy::Job;
 use crate::policy::pool::{Grant, Outcome};
 use crate::policy::suspect::Standing;
@@ -122,7 +123,17 @@
                 }
                 Err(None) => return Run::CallerGone,
             };
-            let tried = attempt(&grant);
+            // A paused instance may wake long after its grant.
+            let late = order.once && self.now() >= order.deadline();
+            let tried = if late {
+                Tried::Failed {
+                    fault: Fault::Cancelled,
+                    sent: false,
+                    from: 0,
+                }
+            } else {
+                attempt(&grant)
+            };
             match course.ended(&grant, tried, trace) {
                 Next::Whole(value) => return Run::Whole(value),
                 Next::CallerGone => return Run::CallerGone,
@@ -283,6 +294,9 @@
     /// goes on without the budget, since giving up would waste what was delivered.
     fn retry_sent(&self, begun: bool) -> After {
         let class = &self.order.class;
+        if begun && !mechanism::on(Mechanism::Resume) {
+            return After::Give(self.gave_up("the stream broke"));
+        }
         if self.tries >= self.order.params.attempts {
             return After::Give(self.gave_up("every attempt failed"));
         }
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -17,6 +17,7 @@
 use crate::adapter::clock::Millis;
 use crate::adapter::endpoint::{self, Call, Fault, Watch};
 use crate::adapter::serve::Reply;
+use crate::mechanism::{self, Mechanism};
 use crate::policy::claim::Answer;
 use crate::policy::pool::Grant;
 
@@ -449,7 +450,8 @@
     /// Reads an event. Events of other attempts and tokens out of order are faults.
     fn read(data: &str, attempt: &str, next: u64) -> Result<Self, Fault> {
         let value: Value = serde_json::from_str(data).map_err(|_| Fault::Garbled)?;
-        if value["id"].as_str() != Some(attempt) {
+        let own = value["id"].as_str() == Some(attempt);
+        if !own && mechanism::on(Mechanism::Attempts) {
             tracing::warn!("chat: an event of another attempt was dropped.");
             return Err(Fault::Garbled);
         }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -8,6 +8,7 @@
 use crate::adapter::log::{Page, READ_WAIT};
 use crate::fleet::audit::{self, EventKind};
 use crate::fleet::config::{self, Outcome, Record};
+use crate::mechanism::{self, Mechanism};
 
 /// Pause after a failed read, in milliseconds.
 const PAUSE: u64 = 300;
@@ -119,7 +120,7 @@
     let turn = number_of(&entry.settings.name) % CARRY_STEPS;
     let age = page.now.saturating_sub(current.logged);
     let due = page.retention / CARRY_PART + page.retention / 4 * turn / CARRY_STEPS;
-    if age < due || page.next > lock(&entry.config).next() {
+    if age < due || !mechanism::on(Mechanism::Carry) || page.next > lock(&entry.config).next() {
         return;
     }
     let Some(carry) = lock(&entry.config).snapshot() else {
@@ -134,8 +135,9 @@
 
 fn follow_claims(entry: &Arc<Entry>) {
     let from = entry.claims.next();
+    let asked = entry.now();
     if let Some(page) = read(entry, super::journal::CLAIMS, from) {
-        entry.fold_claims(&page);
+        entry.fold_claims(&page, asked);
     }
 }
 
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -6,12 +6,14 @@
 use indexmap::{IndexMap, IndexSet};
 use uuid::Uuid;
 
+use super::keyed::LIST_MARGIN;
 use super::{Entry, lock, number_of};
 use crate::adapter::clock::Millis;
 use crate::adapter::http::Client;
 use crate::adapter::list::{Instance, Role};
 use crate::fleet::audit::{self, Event, EventKind};
 use crate::fleet::peer::{KeyNews, KeyQuery, Snapshot, Word};
+use crate::mechanism::{self, Mechanism};
 use crate::policy::claim::Key;
 use crate::policy::pool::PEER_MAX_AGE;
 
@@ -277,6 +279,9 @@
 
 /// Takes the configuration from a peer that has a newer one, or from any that has one.
 pub fn fetch_config(entry: &Entry, at_least: u64) {
+    if !mechanism::on(Mechanism::Peers) {
+        return;
+    }
     let peers = entry.peers.all();
     for row in entry.peer_rows() {
         let version = peers.get(&row.name).map_or(0, |p| p.version);
@@ -323,7 +328,10 @@
 
 /// True when every instance that was alive at `since` or later denies having taken the key.
 pub fn all_deny(entry: &Entry, key: Key, since: Millis) -> bool {
-    let rows = entry.peer_rows();
+    let (rows, read) = (entry.peer_rows(), lock(&entry.members).read());
+    if entry.now() > read + LIST_MARGIN {
+        return false;
+    }
     let peers = entry.peers.all();
     let Some(known): Option<Vec<Uuid>> = rows
         .iter()
@@ -349,6 +357,13 @@
     })
 }
 
+/// True once every listed peer has exchanged words with this instance.
+pub fn all_met(entry: &Entry) -> bool {
+    let (rows, read) = (entry.peer_rows(), lock(&entry.members).read());
+    let peers = entry.peers.all();
+    read > 0 && rows.iter().all(|r| peers.contains_key(&r.name))
+}
+
 /// Row of the peer in the life `boot`.
 pub fn row_of(entry: &Entry, boot: Uuid) -> Option<Instance> {
     let name = lock(&entry.peers.boots)
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -15,6 +15,7 @@
 use crate::adapter::clock::Millis;
 use crate::adapter::log::Page;
 use crate::fleet::peer::KeyNews;
+use crate::mechanism::{self, Mechanism};
 use crate::policy::claim::{Answer, Claim, Holder, Key, KeyAge, Op, Seat, State, Table, key_age};
 
 /// Longest wait for a claim to be decided, in milliseconds.
@@ -29,6 +30,8 @@
 const RETENTION_PART: f64 = 0.8;
 /// How long a claimant must be unheard before its request's outcome counts as unknown.
 const CLAIMANT_GRACE: u64 = 1_500;
+/// Age of the own instance list that may be relied on, in milliseconds.
+pub const LIST_MARGIN: u64 = 1_500;
 /// Start of a key that this fleet issued.
 pub const HOME: &str = "home-";
 
@@ -149,8 +152,8 @@
 }
 
 impl Entry {
-    /// Folds a page of the claims stream.
-    pub(super) fn fold_claims(&self, page: &Page) {
+    /// Folds a page of the claims stream that was asked for at clock time `asked`.
+    pub(super) fn fold_claims(&self, page: &Page, asked: Millis) {
         let now = self.now();
         let mut late = Vec::new();
         {
@@ -173,7 +176,7 @@
                 }
             }
             if inner.next >= page.next {
-                inner.fresh = now;
+                inner.fresh = asked;
             }
             let log_now = page.now;
             inner.table.prune(log_now);
@@ -222,6 +225,10 @@
                 return Err(Failure::unknown(409, "key_expired", text));
             }
         }
+        if !self.introduced(keyed.deadline) {
+            let text = "this instance has just started and is not known to its peers yet";
+            return Err(Failure::unknown(503, "not_introduced", text).retry_after(1_000));
+        }
         let (cell, mine) = self.cell(keyed);
         if cell.digest != keyed.digest {
             return Err(reused());
@@ -230,7 +237,7 @@
             *note = "joined a request with this key on this instance".to_owned();
             return self.join(&cell, keyed.deadline);
         }
-        let ended = if keyed.text.starts_with(HOME) {
+        let ended = if keyed.text.starts_with(HOME) || !mechanism::on(Mechanism::Claims) {
             *note = "key issued by this instance".to_owned();
             self.settle(&cell, send())
         } else {
@@ -242,6 +249,22 @@
         ended
     }
 
+    /// Waits until every instance must know of this one, so that none can deny a key for the
+    /// whole fleet without asking it.
+    fn introduced(&self, deadline: Millis) -> bool {
+        let known = self.born + self.settings.list_lag + LIST_MARGIN;
+        loop {
+            let now = self.now();
+            if now >= known || gossip::all_met(self) {
+                return true;
+            }
+            if now >= deadline {
+                return false;
+            }
+            self.clock.sleep(LOOK);
+        }
+    }
+
     /// The cell of a key, and whether this call has made it.
     fn cell(&self, keyed: &Keyed<'_>) -> (Arc<Cell>, bool) {
         let mut cells = lock(&self.claims.cells);
@@ -369,6 +392,9 @@
             let appended = *lock(&ticket);
             let why = match appended {
                 Appended::No => "the log refused it",
+                Appended::Unsettled if !mechanism::on(Mechanism::Settle) => {
+                    return Stake::First { at: self.log_now() };
+                }
                 _ if self.now() >= end => "the log did not decide in time",
                 _ => {
                     self.claims.pause(LOOK);
@@ -475,6 +501,9 @@
     /// True when no instance can have run the key: none claimed it as far as the log was read,
     /// and every instance alive since then denies having taken it.
     fn surely_not_run(&self, key: Key) -> bool {
+        if !mechanism::on(Mechanism::Deny) {
+            return true;
+        }
         let fresh = {
             let inner = lock(&self.claims.inner);
             let now = self.now().saturating_add_signed(inner.skew);
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -24,6 +24,13 @@
     polled: IndexSet<String>,
 }
 
+impl Members {
+    /// When the list was last read; 0 for never.
+    pub fn read(&self) -> Millis {
+        self.read
+    }
+}
+
 /// Starts following.
 pub fn start(entry: &Arc<Entry>) {
     entry.spawn("list", |entry| {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -32,6 +32,7 @@
 use crate::config::{Fleet, Settings};
 use crate::fleet::audit::{Event, EventKind};
 use crate::fleet::config::{Current, Fold};
+use crate::mechanism::{self, Mechanism};
 use crate::policy::suspect::Suspects;
 use hall::Hall;
 
@@ -56,6 +57,8 @@
     pub clock: Clock,
     /// Its present life.
     pub boot: Uuid,
+    /// When it was created.
+    born: Millis,
     log: Log,
     list: List,
     config: Mutex<Fold>,
@@ -79,6 +82,7 @@
             log: Log::new(settings.log),
             list: List::new(settings.list),
             boot: Uuid::new_v4(),
+            born: clock.now(),
             config: Mutex::new(Fold::default()),
             halls: Mutex::new(IndexMap::new()),
             claims: keyed::Claims::default(),
@@ -146,7 +150,8 @@
         self.clock.sleep(self.settings.linger);
         server.close();
         let end = self.clock.now() + self.settings.drain;
-        while server.busy() > 0 && self.clock.now() < end {
+        let waits = mechanism::on(Mechanism::Drain);
+        while waits && server.busy() > 0 && self.clock.now() < end {
             self.clock.sleep(TICK);
         }
         let left = server.busy();
--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -13,6 +13,7 @@
 
 use crate::adapter::clock::Millis;
 use crate::config::Fleet;
+use crate::mechanism::{self, Mechanism};
 
 /// Stream of the log that holds these records.
 pub const STREAM: &str = "config";
@@ -141,7 +142,7 @@
             self.known = true;
         }
         if oldest > self.next {
-            self.known = false;
+            self.known = !mechanism::on(Mechanism::Gaps);
             self.start = oldest;
             self.next = oldest;
             self.pending.clear();
@@ -179,7 +180,7 @@
         let now_in_force = self.version();
         let outcome = if self.current.as_ref().is_some_and(|c| offset < c.as_of) {
             return None;
-        } else if publish.base != now_in_force {
+        } else if publish.base != now_in_force && mechanism::on(Mechanism::Base) {
             let author = self
                 .current
                 .as_ref()
@@ -205,7 +206,7 @@
     }
 
     fn accept(&mut self, offset: u64, at: Millis, publish: &Publish, fleet: Fleet) -> Outcome {
-        let version = publish.base + 1;
+        let version = self.version() + 1;
         self.replace(Current {
             version,
             id: publish.id,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod fleet;
 pub mod invariants;
 pub mod load;
+pub mod mechanism;
 pub mod policy;
 pub mod standin;
--- a/src/policy/pool.rs
+++ b/src/policy/pool.rs
@@ -13,6 +13,7 @@
 use super::{Job, JobId, Refusal};
 use crate::adapter::clock::Millis;
 use crate::config::{Class, Strategy};
+use crate::mechanism::{self, Mechanism};
 
 /// Age in milliseconds from which a peer's word is silent.
 pub const PEER_MAX_AGE: u64 = 2_000;
@@ -206,7 +207,8 @@
             return;
         };
         let before = e.leaving;
-        e.heard(now, report);
+        let draining = report.draining && mechanism::on(Mechanism::Leavers);
+        e.heard(now, Report { draining, ..report });
         if e.leaving && !before {
             self.notices.push(Notice::Leaving {
                 endpoint: endpoint.to_owned(),
@@ -219,7 +221,8 @@
         let Some(e) = self.endpoints.get_mut(endpoint) else {
             return;
         };
-        if !e.leaving && (e.boot() == boot || e.boot().is_empty()) {
+        let same = e.boot() == boot || e.boot().is_empty();
+        if !e.leaving && same && mechanism::on(Mechanism::Leavers) {
             e.leaving = true;
             self.notices.push(Notice::Leaving {
                 endpoint: endpoint.to_owned(),
@@ -373,7 +376,8 @@
 
     /// Takes a retry out of the class's budget; false when none is left.
     pub fn may_retry(&mut self, class: &str) -> bool {
-        self.budgets.entry(class.to_owned()).or_default().take()
+        let paid = self.budgets.entry(class.to_owned()).or_default().take();
+        paid || !mechanism::on(Mechanism::Budget)
     }
 
     /// A waiting job is no longer wanted. Returns false when it was granted before.
@@ -430,6 +434,9 @@
 
     /// True when one more endpoint may be ejected.
     fn ejectable(&self) -> bool {
+        if !mechanism::on(Mechanism::Eject) {
+            return false;
+        }
         let out = |e: &&Endpoint| e.health != Health::Up;
         self.endpoints.values().filter(out).count() < self.endpoints.len().div_ceil(EJECT_PART)
     }
@@ -468,6 +475,12 @@
     /// Own part of the service's slots. Every silent peer keeps an equal part for itself.
     pub fn quota(&self, now: Millis) -> Quota {
         let all = self.slots();
+        if !mechanism::on(Mechanism::Shares) {
+            return Quota {
+                spare: all,
+                ..Quota::default()
+            };
+        }
         let reserve = all * self.silent(now) as u32 / (self.peers.len() as u32 + 1);
         let mut demand: Vec<(u64, Demand)> = vec![(self.me, self.demand())];
         for (id, peer) in &self.peers {
@@ -592,11 +605,12 @@
                 continue;
             }
             let running = self.running_of(class);
+            let over = rule.tier == 0 || self.classes[class].protected;
             let lane = if running < part(&quota.floor, class) {
                 Lane::Floor
             } else if running < part(&quota.slots, class) || spare_used < quota.spare {
                 Lane::Quota
-            } else if rule.tier == 0 || self.classes[class].protected {
+            } else if over && mechanism::on(Mechanism::Over) {
                 Lane::Over
             } else {
                 continue;
@@ -657,7 +671,9 @@
             .collect();
         let pace = gaps.iter().sum::<f64>() / gaps.len().max(1) as f64;
         let fits = |e: &&Endpoint| {
-            e.open() && (all_silent || !e.silent(now)) && !(job.suspect && e.suspects > 0)
+            e.open()
+                && (all_silent || !e.silent(now))
+                && !(job.suspect && e.suspects > 0 && mechanism::on(Mechanism::Isolation))
         };
         let mut open: Vec<Candidate> = Vec::new();
         for e in self.endpoints.values().filter(fits) {
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -4,6 +4,7 @@
 
 use super::{Job, JobId};
 use crate::adapter::clock::Millis;
+use crate::mechanism::{self, Mechanism};
 
 /// Queues by class, each in order of arrival.
 #[derive(Debug, Default)]
@@ -41,7 +42,7 @@
             .max_by_key(|(_, n)| **n)
             .map(|(w, n)| ((*w).to_owned(), *n));
         match most {
-            Some((workspace, n)) if n > own => {
+            Some((workspace, n)) if n > own && mechanism::on(Mechanism::Displace) => {
                 let at = list
                     .iter()
                     .rposition(|j| j.workspace == workspace && !j.resumed);
--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -5,6 +5,8 @@
 
 use indexmap::IndexMap;
 
+use crate::mechanism::{self, Mechanism};
+
 /// How long one order of instances holds when units can't be split evenly, in milliseconds.
 pub const ROTATION: u64 = 5_000;
 
@@ -97,7 +99,12 @@
     let mut map = IndexMap::new();
     for (class, rule) in order {
         let share = (f64::from(slots) * rule.share).floor() as u32;
-        let n = share.max(1).min(total(class)).min(left);
+        let wanted = if mechanism::on(Mechanism::Floors) {
+            share.max(1)
+        } else {
+            0
+        };
+        let n = wanted.min(total(class)).min(left);
         left -= n;
         map.insert(class.clone(), n);
     }
--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -6,6 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::adapter::clock::Millis;
+use crate::mechanism::{self, Mechanism};
 
 /// How long a crash counts, in milliseconds.
 pub const MEMORY: u64 = 600_000;
@@ -74,6 +75,9 @@
 
     /// Standing of a content.
     pub fn standing(&self, now: Millis, content: Content) -> Standing {
+        if !mechanism::on(Mechanism::Quarantine) {
+            return Standing::Clear;
+        }
         match self.map.get(&content) {
             Some(r) if r.until > now => Standing::Quarantined { until: r.until },
             Some(r) if now.saturating_sub(r.last) <= MEMORY && !r.crashes.is_empty() => {
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -306,7 +306,7 @@
             id = format!("other-{}", Uuid::new_v4());
         }
         let model = body["model"].as_str().unwrap_or("").to_owned();
-        let (words, events) = self.enqueue(&body);
+        let (words, events) = self.enqueue(&body, u64::from(crossed));
         if reply
             .start(200, &[("content-type", "text/event-stream")])
             .is_err()
@@ -316,14 +316,14 @@
         self.relay(&id, &model, words, &events, reply);
     }
 
-    fn enqueue(&self, body: &serde_json::Value) -> (u64, Receiver<Event>) {
+    fn enqueue(&self, body: &serde_json::Value, other: u64) -> (u64, Receiver<Event>) {
         let texts: Vec<&str> = body["messages"]
             .as_array()
             .map(|m| m.iter().filter_map(|m| m["content"].as_str()).collect())
             .unwrap_or_default();
         let whole = texts.join("\n");
         let words = whole.split_whitespace().count() as u64;
-        let seed = xxh3_64(whole.as_bytes());
+        let seed = xxh3_64(whole.as_bytes()) ^ other;
         let prefix = xxh3_64(texts.first().unwrap_or(&"").as_bytes());
         let wanted = length(&whole, seed);
         let limit = body["max_tokens"].as_u64().unwrap_or(u64::MAX);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -38,11 +39,28 @@
     };
 }
 
-fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+/// Ports below the range that the system gives to outgoing connections.
+const PORTS: std::ops::Range<u32> = 11_000..31_000;
+
+/// An address that nothing uses.
+pub fn free() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let span = PORTS.end - PORTS.start;
+    loop {
+        let n = NEXT.fetch_add(1, Ordering::SeqCst) + std::process::id() * 149;
+        let port = PORTS.start + n % span;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            return listener.local_addr().unwrap();
+        }
+    }
+}
+
+/// A number from the environment, or `or`.
+pub fn env(name: &str, or: u64) -> u64 {
+    std::env::var(name)
+        .ok()
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(or)
 }
 
 /// Waits until `done` holds; panics with `what` after the bound.
@@ -160,6 +178,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Kills it; the process is reaped later.
+    pub fn shoot(&self) {
+        self.signal(Signal::KILL);
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             child.kill().unwrap();
--- /dev/null
+++ b/tests/once.rs
@@ -0,0 +1,397 @@
+//! A non-idempotent request runs at most once, and "not run" is true. The stand-in service's own
+//! count of executions is the judge.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::{Rig, Shape, pass, until};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sassafrasworks::adapter::list::{Instance, Phase, Role};
+use sassafrasworks::load::client::Got;
+use sassafrasworks::standin::{log, proxy};
+use uuid::Uuid;
+
+fn key() -> String {
+    Uuid::now_v7().to_string()
+}
+
+/// Time within which a caller is told that a key can't be claimed.
+const QUICK: Duration = Duration::from_secs(5);
+
+#[test]
+fn races_run_once() {
+    let rig = Rig::start(&Shape::default());
+    for _ in 0..20 {
+        let key = key();
+        let all: Vec<Got> = thread::scope(|s| {
+            let sent: Vec<_> = (0..6)
+                .map(|i| {
+                    s.spawn({
+                        let (rig, key) = (&rig, &key);
+                        move || rig.book(i % 3, key)
+                    })
+                })
+                .collect();
+            sent.into_iter().map(|t| t.join().unwrap()).collect()
+        });
+        assert_eq!(rig.count(&key), 1);
+        for got in &all {
+            assert_eq!((got.status, &got.text), (200, &all[0].text), "{got:?}");
+        }
+    }
+    rig.unharmed();
+}
+
+#[test]
+fn killed_claimant_leaves_unknown() {
+    let rig = Rig::start(&Shape {
+        took: 1_500,
+        ..Shape::default()
+    });
+    let key = key();
+    thread::scope(|s| {
+        let first = s.spawn(|| rig.book(0, &key));
+        until("the booking runs", || rig.count(&key) == 1);
+        rig.entries[0].shoot();
+        assert_eq!(first.join().unwrap().status, 0);
+    });
+    for entry in [1, 2] {
+        let got = rig.book(entry, &key);
+        assert_eq!((got.status, got.ran.as_str()), (502, "unknown"), "{got:?}");
+    }
+    assert_eq!(rig.count(&key), 1);
+}
+
+#[test]
+fn claimant_killed_before_it_read_its_claim_runs_nothing() {
+    let rig = Rig::start(&Shape::default());
+    let key = key();
+    let before = rig.log().counts().0;
+    // Its claim takes effect, but it can't read the log.
+    rig.proxy("log-e1").set_fault(proxy::Fault::CutAnswers);
+    thread::scope(|s| {
+        s.spawn(|| rig.book(0, &key));
+        until("the claim is on the log", || rig.log().counts().0 > before);
+        rig.entries[0].freeze();
+        let got = rig.book(1, &key);
+        assert_eq!(got.ran, "unknown", "{got:?}");
+        assert_eq!(rig.count(&key), 0);
+        rig.entries[0].shoot();
+    });
+    let got = rig.book(2, &key);
+    assert_eq!(got.ran, "unknown", "{got:?}");
+    assert_eq!(rig.count(&key), 0);
+}
+
+#[test]
+fn frozen_claimant_wakes_and_answers() {
+    let rig = Rig::start(&Shape {
+        took: 300,
+        ..Shape::default()
+    });
+    let key = key();
+    thread::scope(|s| {
+        let first = s.spawn(|| rig.book(0, &key));
+        until("the booking runs", || rig.count(&key) == 1);
+        rig.entries[0].freeze();
+        let got = rig.book(1, &key);
+        assert_eq!(got.ran, "unknown", "{got:?}");
+        pass(3_000);
+        rig.entries[0].thaw();
+        assert_eq!(first.join().unwrap().status, 200);
+    });
+    let got = rig.book(1, &key);
+    assert_eq!(got.status, 200, "{got:?}");
+    assert_eq!(rig.count(&key), 1);
+    rig.unharmed();
+}
+
+#[test]
+fn frozen_before_sending_past_its_deadline_runs_nothing() {
+    let more = "[exception short]\nclass = booking\ndeadline = 2s\nfirst_token = 1s\n\
+                reason = a test\nauthor = ines\nreviewer = tomas\n";
+    let rig = Rig::start(&Shape {
+        more: more.to_owned(),
+        ..Shape::default()
+    });
+    let key = key();
+    let before = rig.log().counts().0;
+    rig.proxy("log-e1").set_fault(proxy::Fault::CutAnswers);
+    thread::scope(|s| {
+        let first = s.spawn(|| rig.book(0, &key));
+        until("the claim is on the log", || rig.log().counts().0 > before);
+        rig.entries[0].freeze();
+        rig.proxy("log-e1").set_fault(proxy::Fault::None);
+        pass(4_000);
+        rig.entries[0].thaw();
+        let got = first.join().unwrap();
+        assert_ne!(got.status, 200, "{got:?}");
+        assert_eq!(rig.count(&key), 0);
+    });
+    // The claim shows up after it was given up and is released; a resend runs.
+    until("a resend runs", || rig.book(1, &key).status == 200);
+    assert_eq!(rig.count(&key), 1);
+    rig.unharmed();
+}
+
+#[test]
+fn log_outage_is_told_quickly_and_truly() {
+    let rig = Rig::start(&Shape::default());
+    let key = key();
+    pass(1_500);
+    rig.log().set_fault(log::Fault::Down);
+    let start = Instant::now();
+    let got = rig.book(0, &key);
+    assert!(start.elapsed() < QUICK);
+    assert_eq!(
+        (got.code.as_str(), got.ran.as_str()),
+        ("log_unavailable", "no"),
+        "{got:?}"
+    );
+    assert_eq!(rig.count(&key), 0);
+    let lookup = rig.entries[1]
+        .ask()
+        .send("GET", "/svc/orders/stock", b"")
+        .unwrap();
+    assert_eq!(lookup.status, 200);
+    let chat = rig.entries[2]
+        .ask()
+        .stream("spine-1", "chat goes on len=5", 9)
+        .unwrap();
+    assert!(chat.whole);
+    rig.log().set_fault(log::Fault::None);
+    until("the booking runs after the outage", || {
+        rig.book(1, &key).status == 200
+    });
+    assert_eq!(rig.count(&key), 1);
+    rig.unharmed();
+}
+
+#[test]
+fn issued_keys_work_without_the_log() {
+    let mut rig = Rig::start(&Shape::default());
+    let issue = |i: usize| {
+        let got = rig.entries[i].ask().send("POST", "/v1/keys", b"").unwrap();
+        got.json()["key"].as_str().unwrap().to_owned()
+    };
+    let (key, lost) = (issue(0), issue(2));
+    rig.log().set_fault(log::Fault::Down);
+    let first = rig.book(0, &key);
+    assert_eq!(first.status, 200, "{first:?}");
+    let again = rig.book(1, &key);
+    assert_eq!((again.status, &again.text), (200, &first.text));
+    assert_eq!(rig.count(&key), 1);
+    rig.entries[2].kill();
+    let got = rig.book(1, &lost);
+    assert_eq!(
+        (got.code.as_str(), got.ran.as_str()),
+        ("key_home_gone", "unknown"),
+        "{got:?}"
+    );
+    assert_eq!(rig.count(&lost), 0);
+}
+
+#[test]
+fn not_run_is_not_said_when_a_dead_instance_may_have_run_it() {
+    let mut rig = Rig::start(&Shape::default());
+    let key = key();
+    // The first instance is cut off from the log; the second runs the booking and dies.
+    rig.proxy("log-e1").set_fault(proxy::Fault::Cut);
+    pass(200);
+    assert_eq!(rig.book(1, &key).status, 200);
+    rig.entries[1].kill();
+    let got = rig.book(0, &key);
+    assert_ne!(got.status, 200);
+    assert_eq!(rig.count(&key), 1);
+    assert_eq!(got.ran, "unknown", "{got:?}");
+}
+
+#[test]
+fn lost_append_answers_are_settled_by_reading() {
+    let rig = Rig::start(&Shape::default());
+    rig.log().set_fault(log::Fault::Lost);
+    let keys: Vec<String> = (0..10).map(|_| key()).collect();
+    for key in &keys {
+        let got: Vec<Got> = thread::scope(|s| {
+            let (one, two) = (s.spawn(|| rig.book(0, key)), s.spawn(|| rig.book(1, key)));
+            vec![one.join().unwrap(), two.join().unwrap()]
+        });
+        assert!(got.iter().all(|g| g.status == 200), "{got:?}");
+        assert_eq!(rig.count(key), 1);
+    }
+    rig.unharmed();
+}
+
+#[test]
+fn broken_answer_of_the_service_is_unknown_and_never_repeated() {
+    let rig = Rig::start(&Shape::default());
+    let key = key();
+    rig.proxies("orders-", proxy::Fault::CutAnswers);
+    let got = rig.book(0, &key);
+    assert_eq!(got.ran, "unknown", "{got:?}");
+    rig.proxies("orders-", proxy::Fault::None);
+    for i in 0..3 {
+        assert_eq!(rig.book(i, &key).ran, "unknown");
+    }
+    assert_eq!(rig.count(&key), 1);
+}
+
+#[test]
+fn unreached_endpoint_is_replaced() {
+    let rig = Rig::start(&Shape {
+        plains: 1,
+        ..Shape::default()
+    });
+    rig.world.list.as_ref().unwrap().add(Instance {
+        name: "orders-9".to_owned(),
+        role: Role::Endpoint,
+        service: "orders".to_owned(),
+        domain: "recife".to_owned(),
+        addr: common::free().to_string(),
+        admin: String::new(),
+        phase: Phase::Live,
+    });
+    until("the dead endpoint is listed", || {
+        rig.entries[0]
+            .status()
+            .is_some_and(|s| s.to_string().contains("orders-9"))
+    });
+    for _ in 0..10 {
+        let key = key();
+        let got = rig.book(0, &key);
+        assert_eq!((got.status, rig.count(&key)), (200, 1), "{got:?}");
+    }
+    rig.unharmed();
+}
+
+#[test]
+fn new_instance_has_the_answers_of_the_old_one() {
+    let mut rig = Rig::start(&Shape::default());
+    let key = key();
+    let first = rig.book(0, &key);
+    assert_eq!(first.status, 200);
+    until("the answer is on the log", || {
+        let got = rig.book(1, &key);
+        got.text == first.text
+    });
+    for entry in &mut rig.entries {
+        entry.kill();
+        entry.start();
+    }
+    until("new instances are ready", || {
+        rig.entries.iter().all(common::Instance::ready)
+    });
+    let again = rig.book(2, &key);
+    assert_eq!((again.status, &again.text), (200, &first.text), "{again:?}");
+    assert_eq!(rig.count(&key), 1);
+}
+
+#[test]
+fn key_rules_are_told() {
+    let rig = Rig::start(&Shape {
+        entries: 1,
+        ..Shape::default()
+    });
+    let old = Uuid::new_v7(uuid::Timestamp::from_unix(
+        uuid::NoContext,
+        1_600_000_000,
+        0,
+    ));
+    let got = rig.book(0, &old.to_string());
+    assert_eq!(
+        (got.code.as_str(), got.ran.as_str()),
+        ("key_expired", "unknown")
+    );
+    let ahead = Uuid::new_v7(uuid::Timestamp::from_unix(
+        uuid::NoContext,
+        9_000_000_000,
+        0,
+    ));
+    assert_eq!(rig.book(0, &ahead.to_string()).code, "key_ahead");
+    let key = key();
+    assert_eq!(rig.book(0, &key).status, 200);
+    let ask = rig.entries[0].ask().key(&key);
+    let got = ask
+        .send("POST", "/svc/orders/bookings", b"{\"crew\":8}")
+        .unwrap();
+    assert_eq!(got.code, "key_reused");
+}
+
+/// Seed of the long run; `SASSAFRAS_SEED` takes its place.
+const SEED: u64 = 20_261_204;
+/// Rounds of the long run; `SASSAFRAS_ROUNDS` takes its place.
+const ROUNDS: u64 = 30;
+
+/// Random faults and resends: no key runs twice, "not run" is true, whole answers agree.
+#[test]
+fn long_run_with_random_faults() {
+    let mut rig = Rig::start(&Shape {
+        took: 10,
+        ..Shape::default()
+    });
+    let mut rng = ChaCha8Rng::seed_from_u64(common::env("SASSAFRAS_SEED", SEED));
+    for round in 0..common::env("SASSAFRAS_ROUNDS", ROUNDS) {
+        let fault = rng.random_range(0..8);
+        let victim = rng.random_range(0..3usize);
+        let name = format!("log-e{}", victim + 1);
+        match fault {
+            0 => rig.log().set_fault(log::Fault::Lost),
+            1 => rig.log().set_fault(log::Fault::Down),
+            2 => rig.proxy(&name).set_fault(proxy::Fault::Cut),
+            3 => rig.proxy(&name).set_fault(proxy::Fault::CutAnswers),
+            4 => rig.proxies("orders-", proxy::Fault::CutAnswers),
+            5 => rig.entries[victim].freeze(),
+            6 => rig.proxies("admin-", proxy::Fault::Cut),
+            _ => {}
+        }
+        let keys: Vec<String> = (0..4).map(|_| key()).collect();
+        let sends: Vec<(usize, usize)> = (0..8)
+            .map(|i| (i % 4, rng.random_range(0..3usize)))
+            .collect();
+        let got: Vec<(usize, Got)> = thread::scope(|s| {
+            let sent: Vec<_> = sends
+                .iter()
+                .map(|(k, entry)| {
+                    let (rig, key, entry) = (&rig, &keys[*k], *entry);
+                    s.spawn(move || (*k, rig.book(entry, key)))
+                })
+                .collect();
+            pass(400);
+            rig.entries[victim].thaw();
+            sent.into_iter().map(|t| t.join().unwrap()).collect()
+        });
+        for (k, key) in keys.iter().enumerate() {
+            let count = rig.count(key);
+            assert!(
+                count <= 1,
+                "round {round}, fault {fault}: {key} ran {count} times"
+            );
+            let mine: Vec<&Got> = got
+                .iter()
+                .filter(|(i, _)| *i == k)
+                .map(|(_, g)| g)
+                .collect();
+            let whole: Vec<&&Got> = mine.iter().filter(|g| g.status == 200).collect();
+            assert!(whole.is_empty() || count == 1, "round {round}: {mine:?}");
+            assert!(
+                whole.iter().all(|g| g.text == whole[0].text),
+                "round {round}: {mine:?}"
+            );
+            if mine.iter().all(|g| g.ran == "no") {
+                assert_eq!(count, 0, "round {round}, fault {fault}: {mine:?}");
+            }
+        }
+        rig.log().set_fault(log::Fault::None);
+        rig.proxies("", proxy::Fault::None);
+        if fault == 7 && round % 2 == 0 {
+            rig.entries[victim].kill();
+            rig.entries[victim].start();
+            until("the new instance is ready", || rig.entries[victim].ready());
+        }
+    }
+    rig.unharmed();
+}
