--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,400 @@
+//! One configuration, in force everywhere, that never reverts.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::{Instance, Rig, Shape, document, pass, until, until_within};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use sassafrasworks::config::{Fleet, Settings, diff};
+use sassafrasworks::fleet::config::{Fold, Outcome, Publish, Record};
+use sassafrasworks::standin::{log, proxy};
+use uuid::Uuid;
+
+/// Bound on a change's way to every instance.
+const IN_FORCE: Duration = Duration::from_secs(8);
+
+const WRONG: &str = "\
+[fleet]
+base = zero
+author = ines
+reviewer = ines
+reason =
+[defaults]
+deadline = 1s
+first_token = 2s
+colour = green
+[tier counter]
+order = 0
+[tier patient]
+order = 2
+[class booking]
+tier = counters
+idempotent = perhaps
+[class draft]
+tier = patient
+protected = yes
+share = 0.9
+[service spine]
+kind = engine
+slots = 0
+[service orders]
+kind = plane
+read_class = booking
+write_class = bookings
+[workspace recife]
+token = recife-secret
+class = booking
+class = draft
+[exception night]
+workspace = olinda
+share = 0.5
+[exception idle]
+class = booking
+attempts = 3
+reason = none needed
+author = ines
+reviewer = tomas
+[shape round]
+stray
+";
+
+#[test]
+fn every_finding_of_a_document_has_its_place() {
+    let findings = Fleet::parse("fleet.ini", WRONG).unwrap_err();
+    insta::assert_snapshot!(findings.to_string());
+}
+
+#[test]
+fn every_finding_of_settings_has_its_place() {
+    let text = "[entry]\nname = e1\nlisten = nowhere\ngossip = 0ms\nstrategy = best\ncolor = red\n";
+    let findings = Settings::parse("entry.ini", text, &["poll=soon".to_owned()]).unwrap_err();
+    insta::assert_snapshot!(findings.to_string());
+}
+
+#[test]
+fn differences_are_told_key_by_key() {
+    let before = "[tier a]\norder = 0\n[class x]\ntier = a\nqueue = 5\n";
+    let after = "[tier a]\norder = 0\n[class x]\ntier = a\nqueue = 6\n[class y]\ntier = a\n";
+    insta::assert_snapshot!(diff(before, after).join("\n"));
+}
+
+#[test]
+fn exceptions_hold_where_and_while_they_say() {
+    let more = "[exception night]\nworkspace = recife\nclass = layout\ndomain = caruaru\n\
+                deadline = 3m\nreason = night print\nauthor = ines\nreviewer = tomas\n\
+                expires = 2027-01-01T00:00:00Z\n";
+    let fleet = Fleet::parse("fleet.ini", &document(0, "ines", more)).unwrap();
+    let deadline =
+        |class: &str, domain: &str, now: u64| fleet.params(class, "recife", domain, now).0.deadline;
+    assert_eq!(deadline("layout", "caruaru", 0), 180_000);
+    assert_eq!(deadline("layout", "recife", 0), 20_000);
+    assert_eq!(deadline("chat", "caruaru", 0), 20_000);
+    assert_eq!(deadline("layout", "caruaru", 1_800_000_000_000), 20_000);
+    assert_eq!(fleet.params("layout", "recife", "caruaru", 0).1, ["night"]);
+}
+
+/// One step of a random history of the log and its readers.
+#[derive(Debug, Clone)]
+enum Move {
+    Publish { by: usize, valid: bool, twice: bool },
+    Read { by: usize, most: usize },
+    Trim { part: usize },
+    Carry { by: usize },
+    Adopt { by: usize, from: usize },
+    Restart { by: usize },
+}
+
+const READERS: usize = 4;
+
+fn moves() -> impl Strategy<Value = Vec<Move>> {
+    let one = prop_oneof![
+        3 => (0..READERS, any::<bool>(), any::<bool>())
+            .prop_map(|(by, valid, twice)| Move::Publish { by, valid, twice }),
+        5 => (0..READERS, 1..6usize).prop_map(|(by, most)| Move::Read { by, most }),
+        1 => (0..4usize).prop_map(|part| Move::Trim { part }),
+        2 => (0..READERS).prop_map(|by| Move::Carry { by }),
+        1 => (0..READERS, 0..READERS).prop_map(|(by, from)| Move::Adopt { by, from }),
+        1 => (0..READERS).prop_map(|by| Move::Restart { by }),
+    ];
+    prop::collection::vec(one, 1..120)
+}
+
+/// Version that a reader of the whole log has in force before each offset.
+fn truth(all: &[Record]) -> Vec<u64> {
+    let mut fold = Fold::default();
+    fold.begins(0);
+    let mut versions = vec![0];
+    for (i, record) in all.iter().enumerate() {
+        fold.apply(i as u64, 0, record.clone());
+        versions.push(fold.version());
+    }
+    versions
+}
+
+fn play(history: &[Move]) {
+    let (valid, wrong) = (document(0, "ines", ""), "[fleet]\n".to_owned());
+    let mut all: Vec<Record> = Vec::new();
+    let mut oldest = 0;
+    let mut readers: Vec<Fold> = (0..READERS).map(|_| Fold::default()).collect();
+    let mut highest = [0; READERS];
+    for step in history {
+        match *step {
+            Move::Publish {
+                by,
+                valid: good,
+                twice,
+            } => {
+                let publish = Publish {
+                    id: Uuid::from_u128(all.len() as u128),
+                    base: readers[by].version(),
+                    author: format!("operator-{by}"),
+                    text: if good { valid.clone() } else { wrong.clone() },
+                };
+                all.push(Record::Publish(publish.clone()));
+                if twice {
+                    all.push(Record::Publish(publish));
+                }
+            }
+            Move::Read { by, most } => read(&mut readers[by], &all, oldest, most),
+            Move::Trim { part } => oldest += (all.len() - oldest) * part / 4,
+            Move::Carry { by } => {
+                all.extend(readers[by].snapshot().map(Record::Carry));
+            }
+            Move::Adopt { by, from } => {
+                if let Some(carry) = readers[from].snapshot() {
+                    readers[by].adopt(0, carry);
+                }
+            }
+            Move::Restart { by } => {
+                readers[by] = Fold::default();
+                highest[by] = 0;
+            }
+        }
+        let truth = truth(&all);
+        for (i, reader) in readers.iter().enumerate() {
+            assert!(reader.version() >= highest[i], "reader {i} went back");
+            highest[i] = reader.version();
+            let right = truth[reader.next() as usize];
+            assert!(reader.version() <= right, "reader {i} is ahead of the log");
+            if reader.known() {
+                assert_eq!(
+                    reader.version(),
+                    right,
+                    "reader {i} differs at {}",
+                    reader.next()
+                );
+            }
+        }
+    }
+}
+
+fn read(fold: &mut Fold, all: &[Record], oldest: usize, most: usize) {
+    fold.begins(oldest as u64);
+    let from = fold.next() as usize;
+    for (i, record) in all.iter().enumerate().skip(from.max(oldest)).take(most) {
+        fold.apply(i as u64, 0, record.clone());
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: common::env("SASSAFRAS_CASES", 200) as u32,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn readers_agree_in_any_order_of_log_trims_peers_and_restarts(history in moves()) {
+        play(&history);
+    }
+}
+
+#[test]
+fn repeated_append_applies_once() {
+    let mut fold = Fold::default();
+    fold.begins(0);
+    let publish = |base, id| {
+        Record::Publish(Publish {
+            id: Uuid::from_u128(id),
+            base,
+            author: "ines".to_owned(),
+            text: document(base, "ines", ""),
+        })
+    };
+    assert_eq!(
+        fold.apply(0, 0, publish(0, 1))[0].outcome,
+        Outcome::Accepted { version: 1 }
+    );
+    assert!(fold.apply(1, 0, publish(0, 1)).is_empty());
+    let conflict = Outcome::Conflict {
+        version: 1,
+        author: "ines".to_owned(),
+    };
+    assert_eq!(fold.apply(2, 0, publish(0, 2))[0].outcome, conflict);
+    assert_eq!(fold.version(), 1);
+}
+
+#[test]
+fn racing_operators_leave_one_in_force() {
+    let rig = Rig::start(&Shape::default());
+    for base in 1..4 {
+        let results: Vec<_> = thread::scope(|s| {
+            let sent: Vec<_> = ["ana", "rui"]
+                .into_iter()
+                .map(|who| {
+                    let rig = &rig;
+                    s.spawn(move || rig.publish(&document(base, who, "")))
+                })
+                .collect();
+            sent.into_iter().map(|t| t.join().unwrap()).collect()
+        });
+        let won = results.iter().filter(|r| r.is_ok()).count();
+        assert_eq!(won, 1, "{results:?}");
+        let (code, text) = results.iter().find_map(|r| r.as_ref().err()).unwrap();
+        assert_eq!(*code, 4);
+        assert!(
+            text.contains(&format!("conflict with version {}", base + 1)),
+            "{text}"
+        );
+    }
+    until("version 4 is in force", || {
+        rig.entries.iter().all(|e| e.version() == 4)
+    });
+    rig.unharmed();
+}
+
+#[test]
+fn change_is_in_force_everywhere_in_time() {
+    let rig = Rig::start(&Shape::default());
+    rig.publish(&document(1, "ines", "")).unwrap();
+    until_within("the change is in force", IN_FORCE, &mut || {
+        rig.entries.iter().all(|e| e.version() == 2)
+    });
+}
+
+#[test]
+fn peers_bring_the_change_to_an_instance_cut_off_from_the_log() {
+    let rig = Rig::start(&Shape::default());
+    rig.proxy("log-e1").set_fault(proxy::Fault::Cut);
+    rig.publish(&document(1, "ines", "")).unwrap();
+    until_within("the change is in force", IN_FORCE, &mut || {
+        rig.entries.iter().all(|e| e.version() == 2)
+    });
+    rig.proxy("log-e1").set_fault(proxy::Fault::None);
+    rig.publish(&document(2, "ines", "")).unwrap();
+    until("version 3 is in force", || {
+        rig.entries.iter().all(|e| e.version() == 3)
+    });
+    rig.unharmed();
+}
+
+#[test]
+fn lost_append_answers_are_settled_by_the_log() {
+    let rig = Rig::start(&Shape::default());
+    rig.log().set_fault(log::Fault::Lost);
+    let out = rig.publish(&document(1, "ines", "")).unwrap();
+    assert!(out.contains("version 2"), "{out}");
+    rig.log().set_fault(log::Fault::None);
+    until("version 2 is in force", || {
+        rig.entries.iter().all(|e| e.version() == 2)
+    });
+}
+
+#[test]
+fn publish_to_a_log_that_is_down_says_not_published() {
+    let rig = Rig::start(&Shape::default());
+    rig.log().set_fault(log::Fault::Down);
+    let file = rig.dir.join("next.ini");
+    std::fs::write(&file, document(1, "ines", "")).unwrap();
+    let (file, log) = (file.to_str().unwrap().to_owned(), rig.log_addr.to_string());
+    let out = rig.ctl(&["publish", &file, "--log", &log, "--wait", "1"]);
+    assert_eq!(out.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&out.stderr).contains("not published"));
+}
+
+#[test]
+fn configuration_outlives_the_logs_retention() {
+    let shape = Shape {
+        retention: 4_000,
+        ..Shape::default()
+    };
+    let mut rig = Rig::start(&shape);
+    rig.publish(&document(1, "ines", "")).unwrap();
+    until("version 2 is in force", || {
+        rig.entries.iter().all(|e| e.version() == 2)
+    });
+    // Twice the retention: the publication itself has expired by then.
+    pass(2 * shape.retention);
+    for entry in &mut rig.entries {
+        entry.kill();
+    }
+    rig.entries[0].start();
+    until("the new instance has version 2 from the log", || {
+        rig.entries[0].version() == 2
+    });
+    rig.publish(&document(2, "ines", "")).unwrap();
+    until("version 3 is in force", || rig.entries[0].version() == 3);
+}
+
+#[test]
+fn cold_start_without_the_log_takes_the_configuration_from_peers() {
+    let mut rig = Rig::start(&Shape::default());
+    rig.publish(&document(1, "ines", "")).unwrap();
+    until("version 2 is in force", || {
+        rig.entries.iter().all(|e| e.version() == 2)
+    });
+    rig.log().set_fault(log::Fault::Down);
+    rig.entries[0].kill();
+    let start = Instant::now();
+    rig.entries[0].start();
+    until_within("the new instance is ready", IN_FORCE, &mut || {
+        rig.entries[0].ready()
+    });
+    assert_eq!(rig.entries[0].version(), 2);
+    let got = rig.entries[0]
+        .ask()
+        .stream("spine-1", "cold start len=5", 9)
+        .unwrap();
+    assert!(got.whole, "{got:?} after {:?}", start.elapsed());
+}
+
+#[test]
+fn audit_tells_changes_key_by_key_and_conflicts() {
+    let rig = Rig::start(&Shape {
+        entries: 1,
+        ..Shape::default()
+    });
+    rig.publish(&document(1, "ana", "").replace("deadline = 20s", "deadline = 21s"))
+        .unwrap();
+    rig.publish(&document(1, "rui", "")).unwrap_err();
+    let out = rig.ctl(&["audit", "--log", &rig.log_addr.to_string()]);
+    let text = String::from_utf8(out.stdout).unwrap();
+    assert!(text.contains("edit of version 1 by ana, reviewed by tomas: accepted as version 2"));
+    assert!(
+        text.contains("[defaults] deadline: `20s` becomes `21s`"),
+        "{text}"
+    );
+    assert!(text.contains("edit of version 1 by rui, reviewed by tomas: conflict with version 2"));
+}
+
+#[test]
+fn shown_document_can_be_published_again() {
+    let rig = Rig::start(&Shape {
+        entries: 1,
+        ..Shape::default()
+    });
+    let admin = rig.entries[0].admin.to_string();
+    until("version 1 is in force", || {
+        rig.entries.iter().all(|e: &Instance| e.version() == 1)
+    });
+    let out = rig.ctl(&["show", "--entry", &admin]);
+    let out = rig
+        .publish(&String::from_utf8(out.stdout).unwrap())
+        .unwrap();
+    assert!(out.contains("version 2"), "{out}");
+}
