--- a/src/adapter/clock.rs
+++ b/src/adapter/clock.rs
@@ -20,13 +20,9 @@
 impl Clock {
     /// A clock that follows the machine's time and never steps back.
     pub fn system() -> Self {
-        let epoch = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |d| d.as_millis() as Millis);
-        Self::System {
-            start: Instant::now(),
-            epoch,
-        }
+        let epoch =
+            SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as Millis);
+        Self::System { start: Instant::now(), epoch }
     }
 
     /// A paused clock that starts at `now`.
--- a/src/adapter/endpoint.rs
+++ b/src/adapter/endpoint.rs
@@ -38,10 +38,7 @@
 
 impl fmt::Debug for Watch {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Watch")
-            .field("sent", &self.sent)
-            .field("gap", &self.gap)
-            .finish()
+        f.debug_struct("Watch").field("sent", &self.sent).field("gap", &self.gap).finish()
     }
 }
 
@@ -131,26 +128,15 @@
     let response = response.map_err(|e| sort(&e, watch))?;
     let (head, body) = response.into_parts();
     let text = |v: &ureq::http::HeaderValue| String::from_utf8_lossy(v.as_bytes()).into_owned();
-    let headers = head
-        .headers
-        .iter()
-        .map(|(n, v)| (n.as_str().to_owned(), text(v)))
-        .collect();
+    let headers = head.headers.iter().map(|(n, v)| (n.as_str().to_owned(), text(v))).collect();
     let reader: Box<dyn Read + Send + Sync> = Box::new(body.into_reader());
-    Ok(Answer {
-        status: head.status.as_u16(),
-        headers,
-        body: BufReader::new(reader),
-    })
+    Ok(Answer { status: head.status.as_u16(), headers, body: BufReader::new(reader) })
 }
 
 impl Answer {
     /// First value of a header; `name` in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers
-            .iter()
-            .find(|(n, _)| n == name)
-            .map(|(_, v)| v.as_str())
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
     }
 
     /// The whole body.
@@ -233,10 +219,7 @@
         _: &ConnectionDetails<'_>,
         chained: Option<In>,
     ) -> Result<Option<Pipe<In>>, ureq::Error> {
-        Ok(chained.map(|inner| Pipe {
-            inner,
-            watch: Arc::clone(&self.0),
-        }))
+        Ok(chained.map(|inner| Pipe { inner, watch: Arc::clone(&self.0) }))
     }
 }
 
@@ -260,10 +243,7 @@
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, ureq::Error> {
         let give_up = (Instant::now() + self.watch.gap).min(self.watch.end);
         loop {
-            let slice = NextTimeout {
-                after: SLICE.into(),
-                ..timeout
-            };
+            let slice = NextTimeout { after: SLICE.into(), ..timeout };
             match self.inner.await_input(slice) {
                 Err(ureq::Error::Timeout(_)) => {}
                 other => return other,
--- a/src/adapter/http.rs
+++ b/src/adapter/http.rs
@@ -64,12 +64,7 @@
 
     /// POST of raw bytes; returns the body of a 2xx answer.
     pub fn post(&self, url: &str, body: &[u8]) -> Result<Vec<u8>, CallError> {
-        finish(
-            self.agent
-                .post(url)
-                .header("content-type", codec::MSGPACK)
-                .send(body),
-        )
+        finish(self.agent.post(url).header("content-type", codec::MSGPACK).send(body))
     }
 
     /// GET of a JSON value.
@@ -101,19 +96,12 @@
 ) -> Result<Vec<u8>, CallError> {
     let mut response = result.map_err(|e| sort(&e))?;
     let status = response.status().as_u16();
-    let body = response
-        .body_mut()
-        .with_config()
-        .limit(BODY_LIMIT)
-        .read_to_vec();
+    let body = response.body_mut().with_config().limit(BODY_LIMIT).read_to_vec();
     let body = body.map_err(|e| CallError::Unanswered(e.to_string()))?;
     if (200..300).contains(&status) {
         return Ok(body);
     }
-    Err(CallError::Status {
-        status,
-        text: String::from_utf8_lossy(&body).into_owned(),
-    })
+    Err(CallError::Status { status, text: String::from_utf8_lossy(&body).into_owned() })
 }
 
 fn sort(e: &ureq::Error) -> CallError {
--- a/src/adapter/list.rs
+++ b/src/adapter/list.rs
@@ -57,10 +57,7 @@
 impl List {
     /// A client for the list at `addr`.
     pub fn new(addr: SocketAddr) -> Self {
-        Self {
-            url: format!("http://{addr}/instances"),
-            client: Client::new(LIMIT),
-        }
+        Self { url: format!("http://{addr}/instances"), client: Client::new(LIMIT) }
     }
 
     /// The list as the platform shows it now.
--- a/src/adapter/log.rs
+++ b/src/adapter/log.rs
@@ -67,9 +67,7 @@
     /// Appends one record. [`CallError::is_void`] tells whether a failed append is certain not
     /// to take effect.
     pub fn append(&self, stream: &str, data: &[u8]) -> Result<u64, CallError> {
-        let body = self
-            .appends
-            .post(&format!("{}/{stream}", self.base), data)?;
+        let body = self.appends.post(&format!("{}/{stream}", self.base), data)?;
         let done: Appended =
             serde_json::from_slice(&body).map_err(|e| CallError::Garbled(e.to_string()))?;
         Ok(done.offset)
@@ -77,7 +75,6 @@
 
     /// Reads from `from`, waiting up to `wait` milliseconds for the first record.
     pub fn read(&self, stream: &str, from: u64, wait: u64) -> Result<Page, CallError> {
-        self.reads
-            .get_packed(&format!("{}/{stream}?from={from}&wait={wait}", self.base))
+        self.reads.get_packed(&format!("{}/{stream}?from={from}&wait={wait}", self.base))
     }
 }
--- a/src/adapter/serve.rs
+++ b/src/adapter/serve.rs
@@ -43,10 +43,7 @@
 impl Request {
     /// First value of a header; `name` in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers
-            .iter()
-            .find(|(n, _)| n == name)
-            .map(|(_, v)| v.as_str())
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
     }
 }
 
@@ -146,11 +143,7 @@
     /// True when the caller has hung up.
     pub fn gone(&self) -> bool {
         let mut byte = [0];
-        if self
-            .0
-            .set_read_timeout(Some(Duration::from_millis(1)))
-            .is_err()
-        {
+        if self.0.set_read_timeout(Some(Duration::from_millis(1))).is_err() {
             return true;
         }
         match self.0.peek(&mut byte) {
@@ -213,9 +206,7 @@
             open: AtomicUsize::new(0),
         });
         let inner = Arc::clone(&shared);
-        thread::Builder::new()
-            .name("accept".into())
-            .spawn(move || accept(&listener, &inner))?;
+        thread::Builder::new().name("accept".into()).spawn(move || accept(&listener, &inner))?;
         Ok(Self { addr, shared })
     }
 
@@ -248,9 +239,7 @@
             continue;
         };
         let inner = Arc::clone(shared);
-        let named = thread::Builder::new()
-            .name("caller".into())
-            .stack_size(STACK);
+        let named = thread::Builder::new().name("caller".into()).stack_size(STACK);
         let spawned = named.spawn(move || {
             inner.open.fetch_add(1, Ordering::SeqCst);
             connection(stream, &inner);
@@ -294,12 +283,7 @@
 }
 
 fn reply(stream: &mut TcpStream, close: bool) -> Reply<'_> {
-    Reply {
-        stream,
-        close,
-        chunked: false,
-        begun: false,
-    }
+    Reply { stream, close, chunked: false, begun: false }
 }
 
 fn drain(stream: &mut TcpStream) {
@@ -314,11 +298,8 @@
     }
 }
 
-const SLOW: BadRequest = BadRequest {
-    status: 408,
-    code: "slow_request",
-    text: "the request took too long to arrive",
-};
+const SLOW: BadRequest =
+    BadRequest { status: 408, code: "slow_request", text: "the request took too long to arrive" };
 
 /// Reads one request; `buffer` may hold the start of it.
 fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>, shared: &Shared) -> Head {
@@ -378,11 +359,7 @@
     let start = match head.parse(buffer) {
         Ok(httparse::Status::Complete(n)) => n,
         Ok(httparse::Status::Partial) if buffer.len() > HEAD_LIMIT => {
-            return bad(
-                431,
-                "headers_too_large",
-                "the headers are larger than 32 KB",
-            );
+            return bad(431, "headers_too_large", "the headers are larger than 32 KB");
         }
         Ok(httparse::Status::Partial) => return Parsed::More,
         Err(httparse::Error::TooManyHeaders) => {
@@ -391,16 +368,10 @@
         Err(_) => return bad(400, "bad_http", "the request is not valid HTTP/1.1"),
     };
     if start > HEAD_LIMIT {
-        return bad(
-            431,
-            "headers_too_large",
-            "the headers are larger than 32 KB",
-        );
+        return bad(431, "headers_too_large", "the headers are larger than 32 KB");
     }
-    let mut request = Request {
-        method: head.method.unwrap_or("").to_owned(),
-        ..Request::default()
-    };
+    let mut request =
+        Request { method: head.method.unwrap_or("").to_owned(), ..Request::default() };
     let target = head.path.unwrap_or("/");
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     (request.path, request.query) = (path.to_owned(), query.to_owned());
@@ -408,9 +379,7 @@
         let Ok(value) = std::str::from_utf8(h.value) else {
             return bad(400, "bad_header", "a header is not valid UTF-8");
         };
-        request
-            .headers
-            .push((h.name.to_ascii_lowercase(), value.to_owned()));
+        request.headers.push((h.name.to_ascii_lowercase(), value.to_owned()));
     }
     if request.header("transfer-encoding").is_some() {
         return bad(411, "length_required", "send the body with content-length");
@@ -430,26 +399,15 @@
         _ => return bad(400, "bad_length", "content-length stands twice"),
     };
     if length > body_limit {
-        return bad(
-            413,
-            "body_too_large",
-            "the body is larger than this instance takes",
-        );
+        return bad(413, "body_too_large", "the body is larger than this instance takes");
     }
     if buffer.len() < start + length {
-        let expects = request
-            .header("expect")
-            .is_some_and(|v| v.eq_ignore_ascii_case("100-continue"));
-        return if expects {
-            Parsed::Expect
-        } else {
-            Parsed::More
-        };
+        let expects =
+            request.header("expect").is_some_and(|v| v.eq_ignore_ascii_case("100-continue"));
+        return if expects { Parsed::Expect } else { Parsed::More };
     }
     request.body = buffer[start..start + length].to_vec();
-    let close = request
-        .header("connection")
-        .is_some_and(|v| v.eq_ignore_ascii_case("close"));
+    let close = request.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
     let keep = head.version == Some(1) && !close;
     Parsed::Whole(request, start + length, keep)
 }
--- a/src/cmd/ctl/audit.rs
+++ b/src/cmd/ctl/audit.rs
@@ -19,9 +19,7 @@
 impl Audit {
     pub(super) fn new(args: &[String]) -> Result<Self, Stop> {
         let matches = options(BRIEF, args, |_| {})?;
-        Ok(Self {
-            log: Log::new(addr(&matches, "log")?),
-        })
+        Ok(Self { log: Log::new(addr(&matches, "log")?) })
     }
 
     pub(super) fn run(self) -> Result<(), Stop> {
@@ -70,9 +68,7 @@
         rows.push((d.at, text));
         if matches!(d.outcome, Outcome::Accepted { .. }) {
             rows.extend(
-                diff(&before, &d.publish.text)
-                    .into_iter()
-                    .map(|c| (d.at, format!("  {c}"))),
+                diff(&before, &d.publish.text).into_iter().map(|c| (d.at, format!("  {c}"))),
             );
             before.clone_from(&d.publish.text);
         }
--- a/src/cmd/ctl/check.rs
+++ b/src/cmd/ctl/check.rs
@@ -13,9 +13,7 @@
 impl Check {
     pub(super) fn new(args: &[String]) -> Result<Self, Stop> {
         let matches = options(BRIEF, args, |_| {})?;
-        Ok(Self {
-            file: argument(&matches, BRIEF)?,
-        })
+        Ok(Self { file: argument(&matches, BRIEF)? })
     }
 
     pub(super) fn run(self) -> Result<(), Stop> {
--- a/src/cmd/ctl/explain.rs
+++ b/src/cmd/ctl/explain.rs
@@ -15,10 +15,7 @@
 impl Explain {
     pub(super) fn new(args: &[String]) -> Result<Self, Stop> {
         let matches = options(BRIEF, args, |_| {})?;
-        Ok(Self {
-            id: argument(&matches, BRIEF)?,
-            entry: entries(&matches)?[0],
-        })
+        Ok(Self { id: argument(&matches, BRIEF)?, entry: entries(&matches)?[0] })
     }
 
     pub(super) fn run(self) -> Result<(), Stop> {
@@ -26,10 +23,7 @@
         let trace: Trace = client()
             .get_json(&url)
             .map_err(|e| Stop::failed(&format!("can't explain {}", self.id), e))?;
-        println!(
-            "{}: {} after {} ms on {}",
-            trace.id, trace.outcome, trace.took, trace.instance
-        );
+        println!("{}: {} after {} ms on {}", trace.id, trace.outcome, trace.took, trace.instance);
         println!(
             "  class {}, workspace {}, service {}, configuration version {}",
             trace.class, trace.workspace, trace.service, trace.version
--- a/src/cmd/ctl/mod.rs
+++ b/src/cmd/ctl/mod.rs
@@ -49,9 +49,7 @@
         "explain" => explain::Explain::new(rest)?.run(),
         "release" => release::Release::new(rest)?.run(),
         "-h" | "--help" | "help" => Err(Stop::Help(BRIEF.to_owned())),
-        other => Err(Stop::Usage(format!(
-            "no command is called `{other}`\n{BRIEF}"
-        ))),
+        other => Err(Stop::Usage(format!("no command is called `{other}`\n{BRIEF}"))),
     }
 }
 
@@ -59,22 +57,14 @@
 fn options(brief: &str, args: &[String], more: impl Fn(&mut Options)) -> Result<Matches, Stop> {
     let mut options = Options::new();
     options.optopt("l", "log", "address of the log service", "IP:PORT");
-    options.optmulti(
-        "e",
-        "entry",
-        "admin address of an instance; may be repeated",
-        "IP:PORT",
-    );
+    options.optmulti("e", "entry", "admin address of an instance; may be repeated", "IP:PORT");
     more(&mut options);
     parse(&mut options, brief, args)
 }
 
 fn addr(matches: &Matches, name: &str) -> Result<SocketAddr, Stop> {
-    let text = matches
-        .opt_str(name)
-        .ok_or_else(|| Stop::Usage(format!("--{name} is missing")))?;
-    text.parse()
-        .map_err(|e| Stop::Usage(format!("--{name} {text}: {e}")))
+    let text = matches.opt_str(name).ok_or_else(|| Stop::Usage(format!("--{name} is missing")))?;
+    text.parse().map_err(|e| Stop::Usage(format!("--{name} {text}: {e}")))
 }
 
 fn entries(matches: &Matches) -> Result<Vec<SocketAddr>, Stop> {
@@ -82,10 +72,8 @@
     if list.is_empty() {
         return Err(Stop::Usage("--entry is missing".to_owned()));
     }
-    let parse = |text: &String| {
-        text.parse()
-            .map_err(|e| Stop::Usage(format!("--entry {text}: {e}")))
-    };
+    let parse =
+        |text: &String| text.parse().map_err(|e| Stop::Usage(format!("--entry {text}: {e}")));
     list.iter().map(parse).collect()
 }
 
--- a/src/cmd/ctl/publish.rs
+++ b/src/cmd/ctl/publish.rs
@@ -27,28 +27,16 @@
     pub(super) fn new(args: &[String]) -> Result<Self, Stop> {
         let matches = options(BRIEF, args, |o| {
             o.optopt("w", "wait", "how long to look for the outcome", "SECONDS");
-            o.optopt(
-                "i",
-                "id",
-                "identity of a publication that is tried again",
-                "UUID",
-            );
+            o.optopt("i", "id", "identity of a publication that is tried again", "UUID");
         })?;
         let file = argument(&matches, BRIEF)?;
         let log = Log::new(addr(&matches, "log")?);
         let wait = number(&matches, "wait")?.unwrap_or(WAIT);
         let id = match matches.opt_str("id") {
-            Some(text) => text
-                .parse()
-                .map_err(|e| Stop::Usage(format!("--id {text}: {e}")))?,
+            Some(text) => text.parse().map_err(|e| Stop::Usage(format!("--id {text}: {e}")))?,
             None => Uuid::new_v4(),
         };
-        Ok(Self {
-            file,
-            log,
-            wait: Duration::from_secs(wait),
-            id,
-        })
+        Ok(Self { file, log, wait: Duration::from_secs(wait), id })
     }
 
     pub(super) fn run(self) -> Result<(), Stop> {
@@ -98,10 +86,7 @@
         if void {
             return Stop::Failed(format!("not published: {why}"));
         }
-        Stop::Unknown(format!(
-            "not settled: {why}; try again with --id {}",
-            self.id
-        ))
+        Stop::Unknown(format!("not settled: {why}; try again with --id {}", self.id))
     }
 }
 
@@ -109,9 +94,7 @@
     let Some(text) = matches.opt_str(name) else {
         return Ok(None);
     };
-    text.parse()
-        .map(Some)
-        .map_err(|e| Stop::Usage(format!("--{name} {text}: {e}")))
+    text.parse().map(Some).map_err(|e| Stop::Usage(format!("--{name} {text}: {e}")))
 }
 
 fn report(decided: &Decided) -> Result<(), Stop> {
--- a/src/cmd/ctl/show.rs
+++ b/src/cmd/ctl/show.rs
@@ -14,17 +14,12 @@
 
 impl Show {
     pub(super) fn new(args: &[String]) -> Result<Self, Stop> {
-        Ok(Self {
-            matches: options(BRIEF, args, |_| {})?,
-        })
+        Ok(Self { matches: options(BRIEF, args, |_| {})? })
     }
 
     pub(super) fn run(self) -> Result<(), Stop> {
-        let (version, text) = if self.matches.opt_present("log") {
-            self.read_log()?
-        } else {
-            self.ask_entry()?
-        };
+        let (version, text) =
+            if self.matches.opt_present("log") { self.read_log()? } else { self.ask_entry()? };
         print!("{}", rebase(&text, version));
         Ok(())
     }
--- a/src/cmd/ctl/status.rs
+++ b/src/cmd/ctl/status.rs
@@ -18,10 +18,7 @@
         let matches = options(BRIEF, args, |o| {
             o.optflag("j", "json", "print one JSON value for each instance");
         })?;
-        Ok(Self {
-            entries: entries(&matches)?,
-            json: matches.opt_present("json"),
-        })
+        Ok(Self { entries: entries(&matches)?, json: matches.opt_present("json") })
     }
 
     pub(super) fn run(self) -> Result<(), Stop> {
@@ -49,11 +46,7 @@
         "{}: version {}, {}, log read {} ms ago, {} peers, {} invariant violations",
         text(&value["name"]),
         value["version"],
-        if value["ready"] == true {
-            "ready"
-        } else {
-            "not ready"
-        },
+        if value["ready"] == true { "ready" } else { "not ready" },
         value["log_age_ms"],
         value["peers"].as_array().map_or(0, Vec::len),
         value["violations"]
@@ -66,11 +59,7 @@
             service["waiting"]
         );
         for e in service["endpoints"].as_array().into_iter().flatten() {
-            let leaving = if e["leaving"] == true {
-                ", leaving"
-            } else {
-                ""
-            };
+            let leaving = if e["leaving"] == true { ", leaving" } else { "" };
             let silent = if e["silent"] == true { ", silent" } else { "" };
             println!(
                 "    {}: {}{leaving}{silent}, {} own, {} reported",
@@ -82,10 +71,6 @@
         }
     }
     for q in value["quarantine"].as_array().into_iter().flatten() {
-        println!(
-            "  quarantined: {} for {} ms more",
-            text(&q["content"]),
-            q["left_ms"]
-        );
+        println!("  quarantined: {} for {} ms more", text(&q["content"]), q["left_ms"]);
     }
 }
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -31,9 +31,7 @@
         Signals::new([SIGINT, SIGTERM]).map_err(|e| Stop::failed("can't take signals", e))?;
     let listen = settings.listen;
     let entry = entry::Entry::new(settings, Clock::system());
-    let server = entry
-        .start()
-        .map_err(|e| Stop::failed(&format!("can't serve on {listen}"), e))?;
+    let server = entry.start().map_err(|e| Stop::failed(&format!("can't serve on {listen}"), e))?;
     signals.forever().next();
     entry.shutdown(&server);
     Ok(())
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -71,9 +71,7 @@
 /// Parses a command line; `brief` is shown with the options on `--help`.
 pub(crate) fn parse(options: &mut Options, brief: &str, args: &[String]) -> Result<Matches, Stop> {
     options.optflag("h", "help", "show this text");
-    let matches = options
-        .parse(args)
-        .map_err(|e| Stop::Usage(format!("{e}\n{brief}")))?;
+    let matches = options.parse(args).map_err(|e| Stop::Usage(format!("{e}\n{brief}")))?;
     if matches.opt_present("help") {
         return Err(Stop::Help(options.usage(brief)));
     }
@@ -92,11 +90,7 @@
         .with_env_filter(filter)
         .with_writer(std::io::stderr)
         .with_target(false);
-    let done = if json {
-        builder.json().try_init()
-    } else {
-        builder.try_init()
-    };
+    let done = if json { builder.json().try_init() } else { builder.try_init() };
     if let Err(e) = done {
         eprintln!("logs can't be started: {e}");
     }
--- a/src/config/diff.rs
+++ b/src/config/diff.rs
@@ -25,10 +25,7 @@
 fn flat(text: &str) -> IndexMap<String, String> {
     let mut findings = Findings::new("");
     let mut map = IndexMap::new();
-    for s in ini::parse(text, &mut findings)
-        .iter()
-        .filter(|s| s.kind != "fleet")
-    {
+    for s in ini::parse(text, &mut findings).iter().filter(|s| s.kind != "fleet") {
         for (key, value) in &s.pairs {
             map.insert(format!("[{}] {key}", s.title()), value.text.clone());
         }
--- a/src/config/findings.rs
+++ b/src/config/findings.rs
@@ -17,11 +17,7 @@
 
 impl fmt::Display for Finding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{}:{}: {}: {}",
-            self.file, self.line, self.key, self.text
-        )
+        write!(f, "{}:{}: {}: {}", self.file, self.line, self.key, self.text)
     }
 }
 
@@ -35,10 +31,7 @@
 impl Findings {
     /// An empty list for the input called `file`.
     pub fn new(file: &str) -> Self {
-        Self {
-            file: file.to_owned(),
-            list: Vec::new(),
-        }
+        Self { file: file.to_owned(), list: Vec::new() }
     }
 
     /// Adds one problem.
--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -185,9 +185,7 @@
 }
 
 fn span(text: &str) -> Result<u64, String> {
-    let Span(ms) = text
-        .parse()
-        .map_err(|e| format!("bad duration `{text}`: {e}"))?;
+    let Span(ms) = text.parse().map_err(|e| format!("bad duration `{text}`: {e}"))?;
     if ms == 0 {
         return Err("must be longer than zero".to_owned());
     }
@@ -212,10 +210,7 @@
 
 /// Hex SHA-256 of a bearer token, as a configuration holds it.
 pub fn token_hash(token: &str) -> String {
-    Sha256::digest(token.as_bytes())
-        .iter()
-        .map(|b| format!("{b:02x}"))
-        .collect()
+    Sha256::digest(token.as_bytes()).iter().map(|b| format!("{b:02x}")).collect()
 }
 
 impl Fleet {
@@ -223,11 +218,7 @@
     pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
         let mut out = Findings::new(file);
         let sections = ini::parse(text, &mut out);
-        let fleet = Reader {
-            sections: &sections,
-            out: &mut out,
-        }
-        .fleet();
+        let fleet = Reader { sections: &sections, out: &mut out }.fleet();
         out.finish(fleet)
     }
 
@@ -239,10 +230,7 @@
         domain: &str,
         now: Millis,
     ) -> (Params, Vec<&str>) {
-        let mut params = self
-            .classes
-            .get(class)
-            .map_or_else(Params::default, |c| c.params);
+        let mut params = self.classes.get(class).map_or_else(Params::default, |c| c.params);
         let mut names = Vec::new();
         for e in &self.exceptions {
             if e.covers(class, workspace, domain, now) {
@@ -262,10 +250,7 @@
 
     /// Service that serves `model`.
     pub fn service_of(&self, model: &str) -> Option<(&str, &Service)> {
-        let found = self
-            .services
-            .iter()
-            .find(|(_, s)| s.models.iter().any(|m| m == model));
+        let found = self.services.iter().find(|(_, s)| s.models.iter().any(|m| m == model));
         found.map(|(name, s)| (name.as_str(), s))
     }
 }
@@ -323,15 +308,8 @@
     }
 
     fn strays(&mut self) {
-        const KINDS: [&str; 7] = [
-            "fleet",
-            "defaults",
-            "tier",
-            "class",
-            "service",
-            "workspace",
-            "exception",
-        ];
+        const KINDS: [&str; 7] =
+            ["fleet", "defaults", "tier", "class", "service", "workspace", "exception"];
         for s in self.sections {
             if !KINDS.contains(&s.kind.as_str()) {
                 self.out.add(s.line, &s.title(), "unknown section");
@@ -342,12 +320,8 @@
     }
 
     fn globals(&mut self) -> (Meta, Params, Limits) {
-        let mut meta = Meta {
-            base: 0,
-            author: String::new(),
-            reviewer: String::new(),
-            reason: String::new(),
-        };
+        let mut meta =
+            Meta { base: 0, author: String::new(), reviewer: String::new(), reason: String::new() };
         match self.of("fleet").next() {
             Some(s) => {
                 meta.base = s.read("base", self.out).unwrap_or(0);
@@ -372,11 +346,7 @@
                 limits.window = ms;
             }
             if limits.crashes == 0 {
-                self.out.add(
-                    s.line_of("crash_limit"),
-                    "crash_limit",
-                    "must be at least 1",
-                );
+                self.out.add(s.line_of("crash_limit"), "crash_limit", "must be at least 1");
             }
         }
         (meta, params, limits)
@@ -384,11 +354,7 @@
 
     fn reviewed(&mut self, s: &Section, author: &str, reviewer: &str) {
         if !author.is_empty() && author == reviewer {
-            self.out.add(
-                s.line_of("reviewer"),
-                "reviewer",
-                "author and reviewer are the same",
-            );
+            self.out.add(s.line_of("reviewer"), "reviewer", "author and reviewer are the same");
         }
     }
 
@@ -399,9 +365,9 @@
                 self.out.add(value.line, key, text);
             }
         }
-        if params.first_token > params.deadline {
-            self.out
-                .add(s.line, "first_token", "target is later than the deadline");
+        let sets = s.pairs.contains_key("first_token") || s.pairs.contains_key("deadline");
+        if sets && params.first_token > params.deadline {
+            self.out.add(s.line, "first_token", "target is later than the deadline");
         }
     }
 
@@ -410,29 +376,22 @@
         for s in self.of("tier") {
             let Some(order) = s.read::<u8>("order", self.out) else {
                 if s.get("order").is_none() {
-                    self.out
-                        .add(s.line, "order", format!("missing in [{}]", s.title()));
+                    self.out.add(s.line, "order", format!("missing in [{}]", s.title()));
                 }
                 continue;
             };
             if list.iter().any(|(o, _)| *o == order) {
-                self.out
-                    .add(s.line_of("order"), "order", "another tier has this order");
+                self.out.add(s.line_of("order"), "order", "another tier has this order");
             }
             list.push((order, s.name.clone()));
         }
         list.sort();
         if list.is_empty() || list.len() > MAX_TIERS {
-            self.out
-                .add(0, "tier", format!("1 to {MAX_TIERS} tiers are needed"));
+            self.out.add(0, "tier", format!("1 to {MAX_TIERS} tiers are needed"));
         }
         for (i, (order, name)) in list.iter().enumerate() {
             if usize::from(*order) != i {
-                self.out.add(
-                    0,
-                    name,
-                    format!("tier orders must run from 0; {order} leaves a gap"),
-                );
+                self.out.add(0, name, format!("tier orders must run from 0; {order} leaves a gap"));
             }
         }
         list.into_iter().map(|(_, name)| name).collect()
@@ -444,11 +403,7 @@
             let tier = s.need("tier", self.out);
             let order = tiers.iter().position(|t| *t == tier);
             if order.is_none() && !tier.is_empty() {
-                self.out.add(
-                    s.line_of("tier"),
-                    "tier",
-                    format!("no tier is called `{tier}`"),
-                );
+                self.out.add(s.line_of("tier"), "tier", format!("no tier is called `{tier}`"));
             }
             let mut params = defaults;
             self.params(s, &mut params);
@@ -476,8 +431,7 @@
     fn class_ref(&mut self, s: &Section, key: &str, classes: &IndexMap<String, Class>) -> String {
         let name = s.need(key, self.out);
         if !name.is_empty() && !classes.contains_key(&name) {
-            self.out
-                .add(s.line_of(key), key, format!("no class is called `{name}`"));
+            self.out.add(s.line_of(key), key, format!("no class is called `{name}`"));
         }
         name
     }
@@ -497,8 +451,7 @@
             };
             let slots = s.read("slots", self.out).unwrap_or(1);
             if slots == 0 {
-                self.out
-                    .add(s.line_of("slots"), "slots", "must be at least 1");
+                self.out.add(s.line_of("slots"), "slots", "must be at least 1");
             }
             let models = s.words("models");
             let mut service = Service {
@@ -510,8 +463,7 @@
             };
             match kind {
                 Kind::Engine if service.models.is_empty() => {
-                    self.out
-                        .add(s.line, "models", "an engine service needs models");
+                    self.out.add(s.line, "models", "an engine service needs models");
                 }
                 Kind::Engine => {}
                 Kind::Plain => {
@@ -544,23 +496,14 @@
                 self.out.add(s.line_of("token"), "token", text);
             }
             let token = hash.to_ascii_lowercase();
-            let twin = map
-                .iter()
-                .find(|(_, w)| w.token == token && !token.is_empty());
+            let twin = map.iter().find(|(_, w)| w.token == token && !token.is_empty());
             if let Some((name, _)) = twin {
                 let text = format!("workspace `{name}` has the same token");
                 self.out.add(s.line_of("token"), "token", text);
             }
             let class = self.class_ref(s, "class", classes);
             let running = s.read("running", self.out).unwrap_or(0);
-            map.insert(
-                s.name.clone(),
-                Workspace {
-                    token,
-                    class,
-                    running,
-                },
-            );
+            map.insert(s.name.clone(), Workspace { token, class, running });
         }
         map
     }
@@ -587,8 +530,7 @@
         };
         self.reviewed(s, &e.author, &e.reviewer);
         if e.workspace.is_empty() && e.class.is_empty() && e.domain.is_empty() {
-            self.out
-                .add(s.line, "class", "names no workspace, class or domain");
+            self.out.add(s.line, "class", "names no workspace, class or domain");
         }
         if !e.class.is_empty() && !fleet.classes.contains_key(&e.class) {
             let text = format!("no class is called `{}`", e.class);
@@ -601,13 +543,10 @@
         if let Some(value) = s.get("expires") {
             match humantime::parse_rfc3339_weak(&value.text) {
                 Ok(t) => {
-                    e.expires = t
-                        .duration_since(std::time::UNIX_EPOCH)
-                        .map_or(0, |d| d.as_millis() as u64)
+                    e.expires =
+                        t.duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
                 }
-                Err(err) => self
-                    .out
-                    .add(value.line, "expires", format!("bad time: {err}")),
+                Err(err) => self.out.add(value.line, "expires", format!("bad time: {err}")),
             }
         }
         self.sets(s, fleet, &mut e);
@@ -630,16 +569,14 @@
                 Err(text) => self.out.add(value.line, key, text),
             }
         }
-        let covered = fleet
-            .classes
-            .iter()
-            .filter(|(n, _)| e.class.is_empty() || e.class == **n);
+        let covered = fleet.classes.iter().filter(|(n, _)| e.class.is_empty() || e.class == **n);
         let mut changes = false;
         for (name, class) in covered {
             let mut after = class.params;
             e.apply(&mut after);
             changes |= after != class.params;
-            if after.first_token > after.deadline {
+            let sets = e.sets.contains_key("first_token") || e.sets.contains_key("deadline");
+            if sets && after.first_token > after.deadline {
                 let text =
                     format!("first_token of class `{name}` would be later than its deadline");
                 self.out.add(s.line, &s.title(), text);
@@ -658,11 +595,7 @@
         }
         let starved = fleet.classes.iter().find(|(_, c)| c.params.share <= 0.0);
         if let Some((name, _)) = starved {
-            self.out.add(
-                0,
-                "share",
-                format!("class `{name}` has no guaranteed share"),
-            );
+            self.out.add(0, "share", format!("class `{name}` has no guaranteed share"));
         }
     }
 }
@@ -676,10 +609,6 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Self {
-            crashes: 3,
-            quarantine: 600_000,
-            window: 3_600_000,
-        }
+        Self { crashes: 3, quarantine: 600_000, window: 3_600_000 }
     }
 }
--- a/src/config/ini.rs
+++ b/src/config/ini.rs
@@ -54,20 +54,12 @@
         out.add(line, head, "section heading has no closing bracket");
         return;
     };
-    let (kind, name) = head
-        .trim()
-        .split_once(char::is_whitespace)
-        .unwrap_or((head.trim(), ""));
+    let (kind, name) = head.trim().split_once(char::is_whitespace).unwrap_or((head.trim(), ""));
     let (kind, name) = (kind.to_owned(), name.trim().to_owned());
     if list.iter().any(|s| s.kind == kind && s.name == name) {
         out.add(line, head, "section stands twice");
     }
-    list.push(Section {
-        kind,
-        name,
-        line,
-        ..Section::default()
-    });
+    list.push(Section { kind, name, line, ..Section::default() });
 }
 
 fn pair(row: &str, line: usize, list: &mut [Section], out: &mut Findings) {
@@ -80,16 +72,9 @@
         out.add(line, key, "key stands before the first section");
         return;
     };
-    let value = Value {
-        text: text.trim().to_owned(),
-        line,
-    };
+    let value = Value { text: text.trim().to_owned(), line };
     if let Some(old) = section.pairs.insert(key.to_owned(), value) {
-        out.add(
-            line,
-            key,
-            format!("key was set before on line {}", old.line),
-        );
+        out.add(line, key, format!("key was set before on line {}", old.line));
     }
 }
 
@@ -139,11 +124,7 @@
     /// Reads a list of words separated by commas.
     pub fn words(&self, key: &str) -> Vec<String> {
         let text = self.get(key).map_or("", |v| v.text.as_str());
-        text.split(',')
-            .map(str::trim)
-            .filter(|w| !w.is_empty())
-            .map(str::to_owned)
-            .collect()
+        text.split(',').map(str::trim).filter(|w| !w.is_empty()).map(str::to_owned).collect()
     }
 
     /// Line of `key`, or of the heading when the key is absent.
@@ -156,11 +137,7 @@
         let used = self.used.borrow();
         for (key, value) in &self.pairs {
             if !used.contains(key) {
-                out.add(
-                    value.line,
-                    key,
-                    format!("unknown key in [{}]", self.title()),
-                );
+                out.add(value.line, key, format!("unknown key in [{}]", self.title()));
             }
         }
     }
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -66,10 +66,7 @@
         for pair in overrides {
             match pair.split_once('=') {
                 Some((key, value)) => {
-                    let value = ini::Value {
-                        text: value.trim().to_owned(),
-                        line: 0,
-                    };
+                    let value = ini::Value { text: value.trim().to_owned(), line: 0 };
                     section.pairs.insert(key.trim().to_owned(), value);
                 }
                 None => out.add(0, pair, "expected key=value"),
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -40,13 +40,11 @@
             gossip::hear(entry, &word);
             gossip::word(entry)
         }),
-        ("POST", "/peer/key") => packed(request, |query: KeyQuery| {
-            entry.key_news(query.key, query.wait)
-        }),
+        ("POST", "/peer/key") => {
+            packed(request, |query: KeyQuery| entry.key_news(query.key, query.wait))
+        }
         ("GET", "/peer/config") => {
-            let snapshot = Snapshot {
-                carry: lock(&entry.config).snapshot(),
-            };
+            let snapshot = Snapshot { carry: lock(&entry.config).snapshot() };
             Response::from_data(codec::MSGPACK, codec::pack(&snapshot))
         }
         ("GET", "/metrics") => {
@@ -75,9 +73,7 @@
     answer: impl FnOnce(Q) -> A,
 ) -> Response {
     let mut body = Vec::new();
-    let read = request
-        .data()
-        .map(|data| data.take(BODY_LIMIT).read_to_end(&mut body));
+    let read = request.data().map(|data| data.take(BODY_LIMIT).read_to_end(&mut body));
     if !matches!(read, Some(Ok(_))) {
         return Response::text("no body").with_status_code(400);
     }
@@ -88,9 +84,7 @@
 }
 
 fn release(entry: &Entry, request: &Request) -> Response {
-    let content = request
-        .get_param("content")
-        .and_then(|c| u64::from_str_radix(&c, 16).ok());
+    let content = request.get_param("content").and_then(|c| u64::from_str_radix(&c, 16).ok());
     let who = request.get_param("who").unwrap_or_default();
     match content {
         Some(_) if who.is_empty() => {
@@ -109,9 +103,7 @@
     let boot = id.strip_prefix("req-").and_then(|r| r.get(..36));
     let boot = boot.and_then(|b| uuid::Uuid::parse_str(b).ok());
     let asked = request.get_param("hop").is_some();
-    let row = boot
-        .filter(|b| *b != entry.boot && !asked)
-        .and_then(|b| gossip::row_of(entry, b));
+    let row = boot.filter(|b| *b != entry.boot && !asked).and_then(|b| gossip::row_of(entry, b));
     let Some(row) = row else {
         let text = "no instance that is alive remembers this request";
         return Response::json(&json!({ "error": text })).with_status_code(404);
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -98,39 +98,22 @@
     ) -> Run<T> {
         let Some(hall) = self.hall(&order.service) else {
             let failure = Failure::not_run(404, "unknown_service", "no such service is configured");
-            return Run::Failed {
-                failure,
-                sent: false,
-            };
-        };
-        let mut course = Course {
-            entry: self,
-            order,
-            hall,
-            avoid: Vec::new(),
-            sent: false,
-            from: 0,
-            tries: 0,
+            return Run::Failed { failure, sent: false };
         };
+        let mut course =
+            Course { entry: self, order, hall, avoid: Vec::new(), sent: false, from: 0, tries: 0 };
         loop {
             let grant = match course.grant(trace, unwanted) {
                 Ok(grant) => grant,
                 Err(Some(failure)) => {
-                    return Run::Failed {
-                        failure,
-                        sent: course.sent,
-                    };
+                    return Run::Failed { failure, sent: course.sent };
                 }
                 Err(None) => return Run::CallerGone,
             };
             // A paused instance may wake long after its grant.
             let late = order.once && self.now() >= order.deadline();
             let tried = if late {
-                Tried::Failed {
-                    fault: Fault::Cancelled,
-                    sent: false,
-                    from: 0,
-                }
+                Tried::Failed { fault: Fault::Cancelled, sent: false, from: 0 }
             } else {
                 attempt(&grant)
             };
@@ -139,10 +122,7 @@
                 Next::CallerGone => return Run::CallerGone,
                 Next::After(After::Again) => {}
                 Next::After(After::Give(failure)) => {
-                    return Run::Failed {
-                        failure,
-                        sent: course.sent,
-                    };
+                    return Run::Failed { failure, sent: course.sent };
                 }
             }
         }
@@ -174,11 +154,7 @@
             workspace: order.workspace.clone(),
             arrived: order.arrived,
             target: order.arrived + order.params.first_token,
-            deadline: if self.from > 0 {
-                Millis::MAX
-            } else {
-                order.deadline()
-            },
+            deadline: if self.from > 0 { Millis::MAX } else { order.deadline() },
             prefix: order.prefix,
             suspect: standing == Standing::Suspect,
             avoid: self.avoid.clone(),
@@ -218,32 +194,20 @@
 
     fn ended<T>(&mut self, grant: &Grant, tried: Tried<T>, trace: &mut Trace) -> Next<T> {
         let (next, outcome, word) = match tried {
-            Tried::Whole(value, gap) => (
-                Next::Whole(value),
-                Outcome::Good { gap },
-                "whole".to_owned(),
-            ),
-            Tried::CallerGone => (
-                Next::CallerGone,
-                Outcome::Neutral,
-                "the caller hung up".to_owned(),
-            ),
+            Tried::Whole(value, gap) => {
+                (Next::Whole(value), Outcome::Good { gap }, "whole".to_owned())
+            }
+            Tried::CallerGone => {
+                (Next::CallerGone, Outcome::Neutral, "the caller hung up".to_owned())
+            }
             Tried::Draining => {
                 self.avoid.push(grant.endpoint.clone());
                 let after = self.retry_unsent();
-                (
-                    Next::After(after),
-                    Outcome::Draining,
-                    "takes no new work".to_owned(),
-                )
+                (Next::After(after), Outcome::Draining, "takes no new work".to_owned())
             }
             Tried::Failed { fault, sent, from } => {
                 let (after, outcome) = self.failed(grant, fault, sent, from);
-                (
-                    Next::After(after),
-                    outcome,
-                    format!("{fault} at token {from}"),
-                )
+                (Next::After(after), outcome, format!("{fault} at token {from}"))
             }
         };
         self.hall.done(self.entry.now(), grant.job, outcome);
@@ -333,21 +297,13 @@
         if !trace.class.is_empty() {
             self.metrics.ended(&trace.class, outcome);
         }
-        tracing::debug!(
-            "entry: {} ended as {outcome} after {} ms.",
-            trace.id,
-            trace.took
-        );
+        tracing::debug!("entry: {} ended as {outcome} after {} ms.", trace.id, trace.took);
         self.traces.keep(trace);
     }
 
     /// Counts whether the first token met its target.
     pub(super) fn first_token(&self, order: &Order) {
         let took = self.now().saturating_sub(order.arrived);
-        Metrics::met(
-            &self.metrics.first,
-            &order.class,
-            took <= order.params.first_token,
-        );
+        Metrics::met(&self.metrics.first, &order.class, took <= order.params.first_token);
     }
 }
--- a/src/entry/audit.rs
+++ b/src/entry/audit.rs
@@ -12,21 +12,15 @@
         let notices = hall.with(now, super::super::policy::pool::Pool::notices);
         for notice in notices {
             let (kind, endpoint, detail) = match &notice {
-                Notice::Ejected { endpoint, cause } => (
-                    EventKind::Ejected,
-                    endpoint,
-                    format!("out of {} for {cause}", hall.name),
-                ),
-                Notice::Restored { endpoint } => (
-                    EventKind::Restored,
-                    endpoint,
-                    format!("back in {}", hall.name),
-                ),
-                Notice::Leaving { endpoint } => (
-                    EventKind::Leaving,
-                    endpoint,
-                    format!("gets no new work of {}", hall.name),
-                ),
+                Notice::Ejected { endpoint, cause } => {
+                    (EventKind::Ejected, endpoint, format!("out of {} for {cause}", hall.name))
+                }
+                Notice::Restored { endpoint } => {
+                    (EventKind::Restored, endpoint, format!("back in {}", hall.name))
+                }
+                Notice::Leaving { endpoint } => {
+                    (EventKind::Leaving, endpoint, format!("gets no new work of {}", hall.name))
+                }
             };
             self.event(kind, endpoint, &detail);
         }
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -59,10 +59,7 @@
     if !body.is_object() {
         return Err(bad("the body must be a JSON object"));
     }
-    let model = body["model"]
-        .as_str()
-        .ok_or_else(|| bad("`model` must be a string"))?
-        .to_owned();
+    let model = body["model"].as_str().ok_or_else(|| bad("`model` must be a string"))?.to_owned();
     let messages = body["messages"].as_array().filter(|m| !m.is_empty());
     let messages = messages.ok_or_else(|| bad("`messages` must be a list that is not empty"))?;
     let formed = |m: &Value| m["role"].is_string() && !m["content"].is_null();
@@ -81,13 +78,7 @@
     let content = xxh3_64(format!("{model}\n{text}").as_bytes());
     let first = messages[0]["content"].to_string();
     let prefix = xxh3_64(&first.as_bytes()[..first.len().min(PREFIX)]).max(1);
-    Ok(Ask {
-        model,
-        stream,
-        body,
-        content,
-        prefix,
-    })
+    Ok(Ask { model, stream, body, content, prefix })
 }
 
 /// Serves a chat completion.
@@ -101,11 +92,7 @@
     let default = fleet.workspaces[&visit.workspace].class.clone();
     let class = visit.class(&default)?;
     let order = visit.order(service, &class, ask.content, ask.prefix);
-    let key = if order.once {
-        visit.key(service)?
-    } else {
-        None
-    };
+    let key = if order.once { visit.key(service)? } else { None };
     let digest = visit.digest();
     let trace = std::mem::take(&mut visit.trace);
     let mut talk = Talk {
@@ -120,15 +107,9 @@
         first: 0,
     };
     match key {
-        Some((text, key)) => talk.keyed(
-            &Keyed {
-                text: &text,
-                key,
-                digest,
-                deadline: order.deadline(),
-            },
-            trace,
-        ),
+        Some((text, key)) => {
+            talk.keyed(&Keyed { text: &text, key, digest, deadline: order.deadline() }, trace)
+        }
         None => talk.plain(trace),
     }
 }
@@ -153,12 +134,8 @@
         let line = self.reply.line();
         let order = self.order;
         let entry = self.entry;
-        let gone = || {
-            !order.once
-                && line
-                    .as_ref()
-                    .is_some_and(super::super::adapter::serve::Line::gone)
-        };
+        let gone =
+            || !order.once && line.as_ref().is_some_and(super::super::adapter::serve::Line::gone);
         let live = self.ask.stream && !order.once;
         let run = entry.run(order, &mut trace, &gone, |grant| self.attempt(grant, live));
         let class = &order.class;
@@ -195,21 +172,13 @@
         let (entry, order) = (self.entry, self.order);
         let mut note = String::new();
         let ended = entry.once(keyed, &mut note, || {
-            match entry.run(order, &mut trace, &|| false, |grant| {
-                self.attempt(grant, false)
-            }) {
+            match entry.run(order, &mut trace, &|| false, |grant| self.attempt(grant, false)) {
                 Run::Whole(End::Finished { reason, usage }) => {
                     Sent::Ran(self.whole(&reason, &usage))
                 }
                 Run::Whole(End::Rejected(answer)) => Sent::Ran(answer),
-                Run::Failed {
-                    failure,
-                    sent: false,
-                } => Sent::NotSent(failure),
-                Run::Failed {
-                    failure,
-                    sent: true,
-                } => Sent::Lost(failure),
+                Run::Failed { failure, sent: false } => Sent::NotSent(failure),
+                Run::Failed { failure, sent: true } => Sent::Lost(failure),
                 Run::CallerGone => {
                     Sent::Lost(Failure::unknown(502, "outcome_unknown", "the call was cut"))
                 }
@@ -234,19 +203,13 @@
         let silence = (self.order.params.deadline / 4).clamp(SILENCE_MIN, SILENCE_MAX);
         let line = self.reply.line();
         let once = self.order.once;
-        let gone = move || {
-            !once
-                && line
-                    .as_ref()
-                    .is_some_and(super::super::adapter::serve::Line::gone)
-        };
+        let gone =
+            move || !once && line.as_ref().is_some_and(super::super::adapter::serve::Line::gone);
         let watch = Watch::new(silence, ATTEMPT_MAX, Box::new(gone));
         let attempt = format!("{}-{}", self.order.id, grant.job);
         let body = self.engine_body(grant, from).to_string();
-        let headers = [
-            (JSON.0.to_owned(), JSON.1.to_owned()),
-            ("x-attempt".to_owned(), attempt.clone()),
-        ];
+        let headers =
+            [(JSON.0.to_owned(), JSON.1.to_owned()), ("x-attempt".to_owned(), attempt.clone())];
         let call = Call {
             addr: &grant.addr,
             method: "POST",
@@ -262,11 +225,7 @@
                 if !live {
                     tracing::debug!("chat: {attempt} broke at token {}: {fault}.", self.next);
                 }
-                Tried::Failed {
-                    fault,
-                    sent: watch.sent(),
-                    from: self.next,
-                }
+                Tried::Failed { fault, sent: watch.sent(), from: self.next }
             }
         }
     }
@@ -296,11 +255,7 @@
             400..500 => {
                 let (status, headers) = (answer.status, vec![(JSON.0.into(), JSON.1.into())]);
                 let body = answer.whole()?;
-                return Ok(Heard::End(End::Rejected(Answer {
-                    status,
-                    headers,
-                    body,
-                })));
+                return Ok(Heard::End(End::Rejected(Answer { status, headers, body })));
             }
             _ => return Err(Fault::Garbled),
         }
@@ -329,11 +284,7 @@
             self.entry.first_token(self.order);
         } else {
             let gap = now.saturating_sub(self.last);
-            Metrics::met(
-                &metrics.gaps,
-                class,
-                gap <= self.order.params.between_tokens,
-            );
+            Metrics::met(&metrics.gaps, class, gap <= self.order.params.between_tokens);
         }
         self.last = now;
         self.next += 1;
@@ -400,11 +351,7 @@
             "usage": usage,
         });
         let headers = vec![(JSON.0.to_owned(), JSON.1.to_owned())];
-        Answer {
-            status: 200,
-            headers,
-            body: body.to_string().into_bytes(),
-        }
+        Answer { status: 200, headers, body: body.to_string().into_bytes() }
     }
 
     /// Sends a whole answer in the form that the caller asked for.
@@ -415,10 +362,7 @@
             let headers = [JSON, ("x-request-id", self.order.id.as_str())];
             return self.reply.send(answer.status, &headers, &answer.body);
         }
-        let reason = choice["finish_reason"]
-            .as_str()
-            .unwrap_or("stop")
-            .to_owned();
+        let reason = choice["finish_reason"].as_str().unwrap_or("stop").to_owned();
         self.event(&choice["message"].clone(), None)?;
         self.event(&json!({}), Some((&reason, &value["usage"])))?;
         self.reply.chunk(b"data: [DONE]\n\n")?;
@@ -458,16 +402,10 @@
         let choice = &value["choices"][0];
         if let Some(reason) = choice["finish_reason"].as_str() {
             let usage = value["usage"].clone();
-            if usage["completion_tokens"]
-                .as_u64()
-                .is_some_and(|n| n != next)
-            {
+            if usage["completion_tokens"].as_u64().is_some_and(|n| n != next) {
                 return Err(Fault::Garbled);
             }
-            return Ok(Self::End(End::Finished {
-                reason: reason.to_owned(),
-                usage,
-            }));
+            return Ok(Self::End(End::Finished { reason: reason.to_owned(), usage }));
         }
         let text = choice["delta"]["content"].as_str().unwrap_or("").to_owned();
         match value["token"].as_u64() {
--- a/src/entry/fail.rs
+++ b/src/entry/fail.rs
@@ -33,24 +33,12 @@
 impl Failure {
     /// The request was not run.
     pub fn not_run(status: u16, code: &'static str, text: impl Into<String>) -> Self {
-        Self {
-            status,
-            code,
-            text: text.into(),
-            ran: Ran::No,
-            retry: 0,
-        }
+        Self { status, code, text: text.into(), ran: Ran::No, retry: 0 }
     }
 
     /// Nobody knows whether the request ran.
     pub fn unknown(status: u16, code: &'static str, text: impl Into<String>) -> Self {
-        Self {
-            status,
-            code,
-            text: text.into(),
-            ran: Ran::Unknown,
-            retry: 0,
-        }
+        Self { status, code, text: text.into(), ran: Ran::Unknown, retry: 0 }
     }
 
     /// Adds when to try again.
@@ -68,13 +56,7 @@
             Refusal::NoEndpoint => (503, "no endpoint takes work for this service"),
         };
         let ran = if sent { Ran::Unknown } else { Ran::No };
-        Self {
-            status,
-            code: why.code(),
-            text: text.to_owned(),
-            ran,
-            retry: 1_000,
-        }
+        Self { status, code: why.code(), text: text.to_owned(), ran, retry: 1_000 }
     }
 
     /// The error as JSON.
@@ -99,9 +81,7 @@
         if self.retry > 0 {
             headers.push(("retry-after", &retry));
         }
-        reply
-            .send(self.status, &headers, self.body(id).to_string().as_bytes())
-            .ok();
+        reply.send(self.status, &headers, self.body(id).to_string().as_bytes()).ok();
     }
 }
 
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -32,11 +32,7 @@
 fn read(entry: &Entry, stream: &str, from: u64) -> Option<Page> {
     match entry.log.read(stream, from, READ_WAIT) {
         Ok(page) => {
-            let bytes = page
-                .records
-                .iter()
-                .map(|r| r.data.len() as u64)
-                .sum::<u64>();
+            let bytes = page.records.iter().map(|r| r.data.len() as u64).sum::<u64>();
             entry.metrics.control.inc_by(bytes);
             Some(page)
         }
@@ -103,10 +99,7 @@
     };
     if current.version > before {
         entry.configure(&current);
-        let detail = format!(
-            "version {} by {} is in force",
-            current.version, current.author
-        );
+        let detail = format!("version {} by {} is in force", current.version, current.author);
         entry.event(EventKind::ConfigInForce, &entry.settings.name, &detail);
     }
 }
@@ -180,11 +173,7 @@
     let was = lost.load(Ordering::SeqCst);
     if was == 0 && age > LOST_AFTER {
         lost.store(entry.now(), Ordering::SeqCst);
-        entry.event(
-            EventKind::LogLost,
-            "log",
-            "claims are refused until it is back",
-        );
+        entry.event(EventKind::LogLost, "log", "claims are refused until it is back");
     }
     if was > 0 && age < LOST_AFTER {
         let detail = format!("back after {} ms", entry.now().saturating_sub(was));
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -67,9 +67,7 @@
         let text = "this instance has no configuration yet";
         return Err(Failure::not_run(503, "no_configuration", text).retry_after(1_000));
     };
-    let token = request
-        .header("authorization")
-        .and_then(|v| v.strip_prefix("Bearer "));
+    let token = request.header("authorization").and_then(|v| v.strip_prefix("Bearer "));
     let Some((workspace, _)) = token.and_then(|t| current.fleet.workspace_of(t.trim())) else {
         let text = "the bearer token belongs to no workspace";
         return Err(Failure::not_run(401, "unknown_token", text));
@@ -84,14 +82,7 @@
         ..Trace::default()
     };
     let fleet = Arc::clone(&current.fleet);
-    let visit = Visit {
-        entry,
-        fleet,
-        request,
-        id: id.to_owned(),
-        workspace,
-        trace,
-    };
+    let visit = Visit { entry, fleet, request, id: id.to_owned(), workspace, trace };
     match (visit.request.method.as_str(), visit.request.path.as_str()) {
         ("GET", "/v1/models") => {
             ok(reply, &models(&visit.fleet));
@@ -104,27 +95,15 @@
         }
         ("POST", "/v1/chat/completions") => chat::serve(visit, reply),
         (_, path) if path.starts_with("/svc/") => plain::serve(visit, reply),
-        (_, "/v1/models" | "/v1/keys" | "/v1/chat/completions") => Err(Failure::not_run(
-            405,
-            "bad_method",
-            "this path does not take this method",
-        )),
-        _ => Err(Failure::not_run(
-            404,
-            "unknown_path",
-            "there is nothing at this path",
-        )),
+        (_, "/v1/models" | "/v1/keys" | "/v1/chat/completions") => {
+            Err(Failure::not_run(405, "bad_method", "this path does not take this method"))
+        }
+        _ => Err(Failure::not_run(404, "unknown_path", "there is nothing at this path")),
     }
 }
 
 fn ok(reply: &mut Reply<'_>, value: &serde_json::Value) {
-    reply
-        .send(
-            200,
-            &[("content-type", "application/json")],
-            value.to_string().as_bytes(),
-        )
-        .ok();
+    reply.send(200, &[("content-type", "application/json")], value.to_string().as_bytes()).ok();
 }
 
 fn models(fleet: &Fleet) -> serde_json::Value {
@@ -150,12 +129,8 @@
 
     /// The order for a request of this class to this service.
     pub fn order(&mut self, service: &str, class: &str, content: u64, prefix: u64) -> Order {
-        let (params, exceptions) = self.fleet.params(
-            class,
-            &self.workspace,
-            &self.entry.settings.domain,
-            self.trace.at,
-        );
+        let (params, exceptions) =
+            self.fleet.params(class, &self.workspace, &self.entry.settings.domain, self.trace.at);
         self.trace.class = class.to_owned();
         self.trace.service = service.to_owned();
         self.trace.exceptions = exceptions.into_iter().map(str::to_owned).collect();
@@ -195,11 +170,8 @@
 
     /// Sends a kept or plain answer.
     pub fn send(&self, answer: &Answer, reply: &mut Reply<'_>) {
-        let mut headers: Vec<(&str, &str)> = answer
-            .headers
-            .iter()
-            .map(|(n, v)| (n.as_str(), v.as_str()))
-            .collect();
+        let mut headers: Vec<(&str, &str)> =
+            answer.headers.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
         headers.push(("x-request-id", &self.id));
         reply.send(answer.status, &headers, &answer.body).ok();
     }
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -77,11 +77,7 @@
     for hall in &halls {
         let (load, leaving) = hall.read(|pool| (pool.load(), pool.leavers()));
         loads.insert(hall.name.clone(), load);
-        leavers.extend(
-            leaving
-                .into_iter()
-                .map(|(name, boot)| (hall.name.clone(), name, boot)),
-        );
+        leavers.extend(leaving.into_iter().map(|(name, boot)| (hall.name.clone(), name, boot)));
     }
     let seq = {
         let mut seq = lock(&entry.peers.seq);
@@ -126,10 +122,7 @@
     let idle = word.leaving && word.loads.values().all(|l| l.classes.is_empty());
     for hall in entry.all_halls() {
         let load = word.loads.get(&hall.name).cloned().unwrap_or_default();
-        let leavers = word
-            .leavers
-            .iter()
-            .filter(|(service, ..)| *service == hall.name);
+        let leavers = word.leavers.iter().filter(|(service, ..)| *service == hall.name);
         hall.with(now, |pool| {
             if idle {
                 pool.forget(id)
@@ -165,16 +158,9 @@
         who: entry.settings.name.clone(),
         kind: EventKind::Quarantined,
         subject: format!("{content:016x}"),
-        detail: format!(
-            "it crashed {} endpoints, the last as {crash}",
-            fleet.crash_limit
-        ),
+        detail: format!("it crashed {} endpoints, the last as {crash}", fleet.crash_limit),
     };
-    entry.journal.note(audit::Record::Quarantine {
-        content,
-        until,
-        event,
-    });
+    entry.journal.note(audit::Record::Quarantine { content, until, event });
 }
 
 /// An endpoint is heard in a life that was taken for ended.
@@ -189,9 +175,7 @@
             subject: format!("{content:016x}"),
             detail: format!("{crash} did not crash after all"),
         };
-        entry
-            .journal
-            .note(audit::Record::Release { content, event });
+        entry.journal.note(audit::Record::Release { content, event });
     }
 }
 
@@ -227,10 +211,7 @@
     let bytes = crate::adapter::codec::pack(&own);
     match entry.peers.client.post(&url, &bytes) {
         Ok(body) => {
-            entry
-                .metrics
-                .control
-                .inc_by((bytes.len() + body.len()) as u64);
+            entry.metrics.control.inc_by((bytes.len() + body.len()) as u64);
             match crate::adapter::codec::unpack::<Word>(&body) {
                 Ok(word) => hear(entry, &word),
                 Err(e) => tracing::warn!("peers: word of {admin} can't be read: {e}."),
@@ -257,8 +238,7 @@
         let map = lock(&entry.peers.map);
         let rows = entry.peer_rows();
         let fresh = |r: &&Instance| {
-            map.get(&r.name)
-                .is_some_and(|p| now.saturating_sub(p.heard) <= PEER_MAX_AGE)
+            map.get(&r.name).is_some_and(|p| now.saturating_sub(p.heard) <= PEER_MAX_AGE)
         };
         rows.len() - rows.iter().filter(fresh).count()
     };
@@ -308,22 +288,14 @@
     if boot == entry.boot {
         return Some(entry.key_news(key, wait));
     }
-    let name = lock(&entry.peers.boots)
-        .get(&boot)
-        .map(|(name, _)| name.clone())?;
-    let same = lock(&entry.peers.map)
-        .get(&name)
-        .is_some_and(|p| p.boot == boot);
+    let name = lock(&entry.peers.boots).get(&boot).map(|(name, _)| name.clone())?;
+    let same = lock(&entry.peers.map).get(&name).is_some_and(|p| p.boot == boot);
     if !same {
         return None;
     }
     let row = entry.row(&name)?;
     let url = format!("http://{}/peer/key", row.admin);
-    entry
-        .peers
-        .client
-        .exchange(&url, &KeyQuery { key, wait })
-        .ok()
+    entry.peers.client.exchange(&url, &KeyQuery { key, wait }).ok()
 }
 
 /// True when every instance that was alive at `since` or later denies having taken the key.
@@ -333,10 +305,8 @@
         return false;
     }
     let peers = entry.peers.all();
-    let Some(known): Option<Vec<Uuid>> = rows
-        .iter()
-        .map(|r| peers.get(&r.name).map(|p| p.boot))
-        .collect()
+    let Some(known): Option<Vec<Uuid>> =
+        rows.iter().map(|r| peers.get(&r.name).map(|p| p.boot)).collect()
     else {
         return false;
     };
@@ -347,13 +317,9 @@
         return false;
     }
     thread::scope(|scope| {
-        let asked: Vec<_> = known
-            .iter()
-            .map(|boot| scope.spawn(|| ask(entry, *boot, key, 0)))
-            .collect();
-        asked
-            .into_iter()
-            .all(|t| matches!(t.join(), Ok(Some(KeyNews::Unknown | KeyNews::NotSent))))
+        let asked: Vec<_> =
+            known.iter().map(|boot| scope.spawn(|| ask(entry, *boot, key, 0))).collect();
+        asked.into_iter().all(|t| matches!(t.join(), Ok(Some(KeyNews::Unknown | KeyNews::NotSent))))
     })
 }
 
@@ -366,11 +332,7 @@
 
 /// Row of the peer in the life `boot`.
 pub fn row_of(entry: &Entry, boot: Uuid) -> Option<Instance> {
-    let name = lock(&entry.peers.boots)
-        .get(&boot)
-        .map(|(name, _)| name.clone())?;
-    let same = lock(&entry.peers.map)
-        .get(&name)
-        .is_some_and(|p| p.boot == boot);
+    let name = lock(&entry.peers.boots).get(&boot).map(|(name, _)| name.clone())?;
+    let same = lock(&entry.peers.map).get(&name).is_some_and(|p| p.boot == boot);
     if same { entry.row(&name) } else { None }
 }
--- a/src/entry/hall.rs
+++ b/src/entry/hall.rs
@@ -45,15 +45,8 @@
     /// An empty hall.
     pub fn new(name: &str, me: u64, domain: &str, strategy: Strategy, seed: u64) -> Self {
         let pool = Pool::new(me, domain, strategy, seed);
-        let inner = Inner {
-            pool,
-            seats: IndexMap::new(),
-            ticked: 0,
-        };
-        Self {
-            name: name.to_owned(),
-            inner: Mutex::new(inner),
-        }
+        let inner = Inner { pool, seats: IndexMap::new(), ticked: 0 };
+        Self { name: name.to_owned(), inner: Mutex::new(inner) }
     }
 
     /// Changes or reads the pool, then acts on what follows.
@@ -156,8 +149,5 @@
 }
 
 fn tell(inner: &mut Inner, id: JobId, step: Step) -> bool {
-    inner
-        .seats
-        .swap_remove(&id)
-        .is_some_and(|seat| seat.send(step).is_ok())
+    inner.seats.swap_remove(&id).is_some_and(|seat| seat.send(step).is_ok())
 }
--- a/src/entry/journal.rs
+++ b/src/entry/journal.rs
@@ -113,9 +113,7 @@
     let (batch, pause) = {
         let mut queues = lock(&entry.journal.queues);
         // Claims that their request has given up are not appended any more.
-        queues
-            .ops
-            .retain(|(_, t)| t.as_ref().is_none_or(|t| *lock(t) != Appended::No));
+        queues.ops.retain(|(_, t)| t.as_ref().is_none_or(|t| *lock(t) != Appended::No));
         let n = queues.ops.len().min(BATCH);
         (queues.ops.drain(..n).collect::<Vec<_>>(), queues.pause)
     };
@@ -144,11 +142,7 @@
         }
     }
     entry.claims.wake();
-    let next = if outcome == Appended::Yes {
-        pause / 2
-    } else {
-        (pause * 2).max(PAUSE_FIRST)
-    };
+    let next = if outcome == Appended::Yes { pause / 2 } else { (pause * 2).max(PAUSE_FIRST) };
     let next = next.min(PAUSE_MAX);
     {
         let mut queues = lock(&entry.journal.queues);
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -324,10 +324,7 @@
             let nonce = Uuid::new_v4();
             let failure = match self.stake(keyed, nonce) {
                 Stake::First { at } => {
-                    *note = format!(
-                        "first on the log, {} ms after the claim",
-                        self.log_now() - at
-                    );
+                    *note = format!("first on the log, {} ms after the claim", self.log_now() - at);
                     let sent = send();
                     self.journal.settle(record(keyed.key, nonce, &sent));
                     return self.settle(cell, sent);
@@ -366,23 +363,15 @@
             return holder;
         }
         let window = self.claim_window();
-        let claim = Claim {
-            key: keyed.key,
-            nonce,
-            boot: self.boot,
-            digest: keyed.digest,
-            window,
-        };
+        let claim = Claim { key: keyed.key, nonce, boot: self.boot, digest: keyed.digest, window };
         let ticket = self.journal.claim(Op::Claim(claim));
         let end = keyed.deadline.min(self.now() + CLAIM_WAIT);
         loop {
             let seat = self.seat(keyed, nonce);
             match seat {
                 Seat::First => {
-                    let at = lock(&self.claims.inner)
-                        .table
-                        .holder(keyed.key, 0)
-                        .map_or(0, |h| h.at);
+                    let at =
+                        lock(&self.claims.inner).table.holder(keyed.key, 0).map_or(0, |h| h.at);
                     return Stake::First { at };
                 }
                 Seat::Behind(holder) => return Stake::Behind(holder),
@@ -416,10 +405,7 @@
         *lock(ticket) = Appended::No;
         let until = self.log_now() + self.claim_window();
         let mut inner = lock(&self.claims.inner);
-        match inner
-            .table
-            .seat(keyed.key, nonce, keyed.digest, until.saturating_sub(1))
-        {
+        match inner.table.seat(keyed.key, nonce, keyed.digest, until.saturating_sub(1)) {
             Seat::Free => {
                 inner.given_up.insert(nonce, until);
                 Stake::None(why)
@@ -435,9 +421,7 @@
 
     fn seat(&self, keyed: &Keyed<'_>, nonce: Uuid) -> Seat {
         let now = self.log_now();
-        lock(&self.claims.inner)
-            .table
-            .seat(keyed.key, nonce, keyed.digest, now)
+        lock(&self.claims.inner).table.seat(keyed.key, nonce, keyed.digest, now)
     }
 
     fn holder(&self, keyed: &Keyed<'_>) -> Option<Stake> {
@@ -461,10 +445,8 @@
                 }
                 Seat::Mismatch => return Followed::Ended(Err(reused())),
             }
-            let state = lock(&self.claims.inner)
-                .table
-                .holder(keyed.key, 0)
-                .map(|h| h.state.clone());
+            let state =
+                lock(&self.claims.inner).table.holder(keyed.key, 0).map(|h| h.state.clone());
             match state {
                 Some(State::Done(answer)) => return Followed::Ended(Ok(answer.as_ref().clone())),
                 Some(State::Lost) => return Followed::Ended(Err(lost())),
@@ -520,11 +502,7 @@
         let Some(cell) = lock(&self.claims.cells).get(&key).cloned() else {
             return KeyNews::Unknown;
         };
-        match if wait == 0 {
-            cell.get()
-        } else {
-            cell.wait(wait)
-        } {
+        match if wait == 0 { cell.get() } else { cell.wait(wait) } {
             CellState::Running => KeyNews::Running,
             CellState::Done(answer) => KeyNews::Done(answer),
             CellState::Lost => KeyNews::Lost,
@@ -551,11 +529,9 @@
 /// The record of a send's result.
 fn record(key: Key, nonce: Uuid, sent: &Sent) -> Op {
     match sent {
-        Sent::Ran(answer) if answer.body.len() <= ANSWER_LIMIT => Op::Done {
-            key,
-            nonce,
-            answer: answer.clone(),
-        },
+        Sent::Ran(answer) if answer.body.len() <= ANSWER_LIMIT => {
+            Op::Done { key, nonce, answer: answer.clone() }
+        }
         // Too large for the log; it ran, and only this instance has the answer.
         Sent::Ran(_) | Sent::Lost(_) => Op::Lost { key, nonce },
         Sent::NotSent(_) => Op::Release { key, nonce },
@@ -566,33 +542,18 @@
 fn given_up(inner: &Inner, op: &Op) -> Option<Op> {
     let Op::Claim(claim) = op else { return None };
     let given_up = inner.given_up.contains_key(&claim.nonce);
-    given_up.then_some(Op::Release {
-        key: claim.key,
-        nonce: claim.nonce,
-    })
+    given_up.then_some(Op::Release { key: claim.key, nonce: claim.nonce })
 }
 
 fn lost() -> Failure {
-    Failure::unknown(
-        502,
-        "outcome_unknown",
-        "the request was sent and its outcome is not known",
-    )
+    Failure::unknown(502, "outcome_unknown", "the request was sent and its outcome is not known")
 }
 
 fn still_running() -> Failure {
-    Failure::unknown(
-        504,
-        "still_running",
-        "the request with this key has not ended yet",
-    )
-    .retry_after(1_000)
+    Failure::unknown(504, "still_running", "the request with this key has not ended yet")
+        .retry_after(1_000)
 }
 
 fn reused() -> Failure {
-    Failure::not_run(
-        422,
-        "key_reused",
-        "the idempotency key was used for a different request",
-    )
+    Failure::not_run(422, "key_reused", "the idempotency key was used for a different request")
 }
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -60,11 +60,8 @@
         return;
     }
     let now = entry.now();
-    let entries: Vec<u64> = rows
-        .iter()
-        .filter(|r| r.role == Role::Entry)
-        .map(|r| number_of(&r.name))
-        .collect();
+    let entries: Vec<u64> =
+        rows.iter().filter(|r| r.role == Role::Entry).map(|r| number_of(&r.name)).collect();
     for hall in entry.all_halls() {
         let Some(service) = fleet.services.get(&hall.name) else {
             continue;
@@ -88,21 +85,14 @@
 impl Entry {
     /// Row of an instance in the list.
     pub(super) fn row(&self, name: &str) -> Option<Instance> {
-        lock(&self.members)
-            .rows
-            .iter()
-            .find(|r| r.name == name)
-            .cloned()
+        lock(&self.members).rows.iter().find(|r| r.name == name).cloned()
     }
 
     /// Rows of the other entry instances.
     pub(super) fn peer_rows(&self) -> Vec<Instance> {
         let members = lock(&self.members);
         let peers = members.rows.iter().filter(|r| r.role == Role::Entry);
-        peers
-            .filter(|r| r.name != self.settings.name)
-            .cloned()
-            .collect()
+        peers.filter(|r| r.name != self.settings.name).cloned().collect()
     }
 }
 
@@ -170,20 +160,11 @@
                 (false, Health::Up) => EndpointState::Up,
                 (false, _) => EndpointState::Out,
             };
-            pool.endpoints()
-                .map(|e| state(e.leaving, e.health))
-                .collect()
+            pool.endpoints().map(|e| state(e.leaving, e.health)).collect()
         });
-        for state in [
-            EndpointState::Up,
-            EndpointState::Out,
-            EndpointState::Leaving,
-        ] {
+        for state in [EndpointState::Up, EndpointState::Out, EndpointState::Leaving] {
             let n = states.iter().filter(|s| **s == state).count();
-            let labels = ByEndpoints {
-                service: hall.name.clone(),
-                state,
-            };
+            let labels = ByEndpoints { service: hall.name.clone(), state };
             entry.metrics.endpoints.get_or_create(&labels).set(n as i64);
         }
     }
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -115,48 +115,20 @@
 impl Metrics {
     fn register(&self) {
         let mut r = lock(&self.registry);
-        r.register(
-            "requests",
-            "Requests by how they ended",
-            self.requests.clone(),
-        );
+        r.register("requests", "Requests by how they ended", self.requests.clone());
         r.register("first_token", "First tokens by target", self.first.clone());
         r.register("token_gaps", "Token gaps by target", self.gaps.clone());
         r.register("good_tokens", "Tokens in whole answers", self.good.clone());
-        r.register(
-            "wasted_tokens",
-            "Tokens no caller got whole",
-            self.wasted.clone(),
-        );
-        r.register(
-            "queue_wait_seconds",
-            "Waits for a grant",
-            self.waits.clone(),
-        );
+        r.register("wasted_tokens", "Tokens no caller got whole", self.wasted.clone());
+        r.register("queue_wait_seconds", "Waits for a grant", self.waits.clone());
         r.register("retries", "Attempts after the first", self.retries.clone());
         r.register("endpoints", "Endpoints by state", self.endpoints.clone());
-        r.register(
-            "config_version",
-            "Configuration in force",
-            self.version.clone(),
-        );
-        r.register(
-            "log_age_seconds",
-            "Time since the claims log was read",
-            self.log_age.clone(),
-        );
-        r.register(
-            "silent_peers",
-            "Peers not heard of late",
-            self.silent.clone(),
-        );
+        r.register("config_version", "Configuration in force", self.version.clone());
+        r.register("log_age_seconds", "Time since the claims log was read", self.log_age.clone());
+        r.register("silent_peers", "Peers not heard of late", self.silent.clone());
         r.register("keys", "Keys remembered", self.keys.clone());
         r.register("invariant_violations", "Must be 0", self.violations.clone());
-        r.register(
-            "control_bytes",
-            "Control messages in both directions",
-            self.control.clone(),
-        );
+        r.register("control_bytes", "Control messages in both directions", self.control.clone());
     }
 
     /// The page that a scraper reads.
@@ -171,50 +143,27 @@
 
     /// Counts how a request ended.
     pub fn ended(&self, class: &str, result: &'static str) {
-        self.requests
-            .get_or_create(&ByResult {
-                class: class.to_owned(),
-                result,
-            })
-            .inc();
+        self.requests.get_or_create(&ByResult { class: class.to_owned(), result }).inc();
     }
 
     /// Counts one more attempt.
     pub fn retried(&self, class: &str, result: &'static str) {
-        self.retries
-            .get_or_create(&ByResult {
-                class: class.to_owned(),
-                result,
-            })
-            .inc();
+        self.retries.get_or_create(&ByResult { class: class.to_owned(), result }).inc();
     }
 
     /// Counts whether a first token or a gap met its target.
     pub fn met(family: &Family<ByResult, Counter>, class: &str, met: bool) {
         let result = if met { "met" } else { "missed" };
-        family
-            .get_or_create(&ByResult {
-                class: class.to_owned(),
-                result,
-            })
-            .inc();
+        family.get_or_create(&ByResult { class: class.to_owned(), result }).inc();
     }
 
     /// Adds to a family of counters by class.
     pub fn add(family: &Family<ByClass, Counter>, class: &str, n: u64) {
-        family
-            .get_or_create(&ByClass {
-                class: class.to_owned(),
-            })
-            .inc_by(n);
+        family.get_or_create(&ByClass { class: class.to_owned() }).inc_by(n);
     }
 
     /// Records a wait in milliseconds.
     pub fn waited(&self, class: &str, ms: u64) {
-        self.waits
-            .get_or_create(&ByClass {
-                class: class.to_owned(),
-            })
-            .observe(ms as f64 / 1e3);
+        self.waits.get_or_create(&ByClass { class: class.to_owned() }).observe(ms as f64 / 1e3);
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -216,28 +216,16 @@
     /// Puts the configuration in force to use.
     fn configure(&self, current: &Current) {
         let now = self.now();
-        let limits: IndexMap<String, u32> = current
-            .fleet
-            .workspaces
-            .iter()
-            .map(|(n, w)| (n.clone(), w.running))
-            .collect();
+        let limits: IndexMap<String, u32> =
+            current.fleet.workspaces.iter().map(|(n, w)| (n.clone(), w.running)).collect();
         let me = number_of(&self.settings.name);
         let mut halls = lock(&self.halls);
         for (i, name) in current.fleet.services.keys().enumerate() {
             let hall = halls.entry(name.clone()).or_insert_with(|| {
                 let (domain, strategy) = (&self.settings.domain, self.settings.strategy);
-                Arc::new(Hall::new(
-                    name,
-                    me,
-                    domain,
-                    strategy,
-                    me.wrapping_add(i as u64),
-                ))
-            });
-            hall.with(now, |pool| {
-                pool.configure(&current.fleet.classes, limits.clone())
+                Arc::new(Hall::new(name, me, domain, strategy, me.wrapping_add(i as u64)))
             });
+            hall.with(now, |pool| pool.configure(&current.fleet.classes, limits.clone()));
         }
         halls.retain(|name, hall| current.fleet.services.contains_key(name) || hall.busy());
         drop(halls);
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -42,11 +42,7 @@
         return Err(Failure::not_run(404, "unknown_service", text));
     };
     let safe = matches!(visit.request.method.as_str(), "GET" | "HEAD" | "OPTIONS");
-    let class = visit.class(if safe {
-        &service.read_class
-    } else {
-        &service.write_class
-    })?;
+    let class = visit.class(if safe { &service.read_class } else { &service.write_class })?;
     let digest = visit.digest();
     let order = visit.order(name, &class, xxh3_64(&digest.to_le_bytes()), 0);
     let target = match visit.request.query.as_str() {
@@ -63,30 +59,16 @@
     }
     let mut trace = std::mem::take(&mut visit.trace);
     let line = reply.line();
-    let gone = move || {
-        line.as_ref()
-            .is_some_and(super::super::adapter::serve::Line::gone)
-    };
+    let gone = move || line.as_ref().is_some_and(super::super::adapter::serve::Line::gone);
     let ended = match &key {
         Some((text, key)) => {
-            let keyed = Keyed {
-                text,
-                key: *key,
-                digest,
-                deadline: order.deadline(),
-            };
+            let keyed = Keyed { text, key: *key, digest, deadline: order.deadline() };
             let mut note = String::new();
             let ended = entry.once(&keyed, &mut note, || {
                 match entry.forward(&order, &mut trace, &visit.request, &target, &|| false) {
                     Run::Whole(answer) => Sent::Ran(answer),
-                    Run::Failed {
-                        failure,
-                        sent: false,
-                    } => Sent::NotSent(failure),
-                    Run::Failed {
-                        failure,
-                        sent: true,
-                    } => Sent::Lost(failure),
+                    Run::Failed { failure, sent: false } => Sent::NotSent(failure),
+                    Run::Failed { failure, sent: true } => Sent::Lost(failure),
                     Run::CallerGone => {
                         Sent::Lost(Failure::unknown(502, "outcome_unknown", "the call was cut"))
                     }
@@ -153,27 +135,15 @@
 
     fn call_plain(&self, order: &Order, _: &Grant, call: &Call<'_>) -> Tried<Answer> {
         let left = order.deadline().saturating_sub(self.now()).max(1);
-        let limit = if order.once {
-            left.max(ONCE_LIMIT)
-        } else {
-            left
-        };
+        let limit = if order.once { left.max(ONCE_LIMIT) } else { left };
         let watch = Watch::new(limit, limit, Box::new(|| false));
         let answer = endpoint::call(call, &watch).and_then(|a| {
             let (status, headers) = (a.status, a.headers.clone());
-            a.whole().map(|body| Answer {
-                status,
-                headers: passed(headers),
-                body,
-            })
+            a.whole().map(|body| Answer { status, headers: passed(headers), body })
         });
         match answer {
             Ok(answer) => Tried::Whole(answer, None),
-            Err(fault) => Tried::Failed {
-                fault,
-                sent: watch.sent(),
-                from: 0,
-            },
+            Err(fault) => Tried::Failed { fault, sent: watch.sent(), from: 0 },
         }
     }
 
@@ -183,9 +153,7 @@
             return Ok(None);
         };
         const BOOT_LEN: usize = 36;
-        let boot = rest
-            .get(..BOOT_LEN)
-            .and_then(|b| uuid::Uuid::parse_str(b).ok());
+        let boot = rest.get(..BOOT_LEN).and_then(|b| uuid::Uuid::parse_str(b).ok());
         let Some(boot) = boot else {
             let text = format!("a key that begins with `{HOME}` must be one that was issued");
             return Err(Failure::not_run(400, "bad_key", text));
@@ -219,11 +187,7 @@
         let watch = Watch::new(ONCE_LIMIT, ONCE_LIMIT, Box::new(|| false));
         let passed_on = endpoint::call(&call, &watch).and_then(|a| {
             let (status, headers) = (a.status, a.headers.clone());
-            a.whole().map(|body| Answer {
-                status,
-                headers: passed(headers),
-                body,
-            })
+            a.whole().map(|body| Answer { status, headers: passed(headers), body })
         });
         passed_on.map(Some).map_err(|fault: Fault| {
             tracing::warn!("keyed: the home of a key failed: {fault}.");
--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -181,28 +181,15 @@
         let outcome = if self.current.as_ref().is_some_and(|c| offset < c.as_of) {
             return None;
         } else if publish.base != now_in_force && mechanism::on(Mechanism::Base) {
-            let author = self
-                .current
-                .as_ref()
-                .map_or(String::new(), |c| c.author.clone());
-            Outcome::Conflict {
-                version: now_in_force,
-                author,
-            }
+            let author = self.current.as_ref().map_or(String::new(), |c| c.author.clone());
+            Outcome::Conflict { version: now_in_force, author }
         } else {
             match Fleet::parse("config", &publish.text) {
                 Ok(fleet) => self.accept(offset, at, &publish, fleet),
-                Err(findings) => Outcome::Invalid {
-                    findings: findings.to_string(),
-                },
+                Err(findings) => Outcome::Invalid { findings: findings.to_string() },
             }
         };
-        Some(Decided {
-            offset,
-            at,
-            publish,
-            outcome,
-        })
+        Some(Decided { offset, at, publish, outcome })
     }
 
     fn accept(&mut self, offset: u64, at: Millis, publish: &Publish, fleet: Fleet) -> Outcome {
@@ -246,11 +233,7 @@
         }
         if carry.version > mine {
             let read = self.known && as_of <= self.next;
-            invariant!(
-                !read,
-                "version {} was not found at offset {as_of}",
-                carry.version
-            );
+            invariant!(!read, "version {} was not found at offset {as_of}", carry.version);
             if !self.take(at, carry) {
                 return Vec::new();
             }
@@ -270,9 +253,7 @@
         self.known = true;
         let pending = std::mem::take(&mut self.pending);
         let later = pending.into_iter().filter(|(offset, ..)| *offset >= as_of);
-        later
-            .filter_map(|(offset, at, publish)| self.decide(offset, at, publish))
-            .collect()
+        later.filter_map(|(offset, at, publish)| self.decide(offset, at, publish)).collect()
     }
 
     /// Puts the carried document in force; false when it can't be read.
@@ -280,10 +261,7 @@
         let fleet = match Fleet::parse("config", &carry.text) {
             Ok(fleet) => Arc::new(fleet),
             Err(findings) => {
-                tracing::error!(
-                    "config: version {} can't be read: {findings}.",
-                    carry.version
-                );
+                tracing::error!("config: version {} can't be read: {findings}.", carry.version);
                 return false;
             }
         };
@@ -302,11 +280,7 @@
     /// The version in force as a carry; `None` while there is none.
     pub fn snapshot(&self) -> Option<Carry> {
         let c = self.current.as_ref()?;
-        let as_of = if self.known {
-            self.next.max(c.as_of)
-        } else {
-            c.as_of
-        };
+        let as_of = if self.known { self.next.max(c.as_of) } else { c.as_of };
         Some(Carry {
             version: c.version,
             id: c.id,
--- a/src/load/client.rs
+++ b/src/load/client.rs
@@ -101,13 +101,7 @@
         let start = Instant::now();
         let watch = Watch::new(SILENCE, TOTAL, Box::new(|| false));
         let headers = self.all_headers();
-        let call = Call {
-            addr: &self.addr,
-            method,
-            path,
-            headers: &headers,
-            body,
-        };
+        let call = Call { addr: &self.addr, method, path, headers: &headers, body };
         let answer = endpoint::call(&call, &watch)?;
         let status = answer.status;
         let id = answer.header("x-request-id").unwrap_or("").to_owned();
@@ -134,20 +128,10 @@
         let body = chat(model, prompt, max, true).to_string();
         let path = "/v1/chat/completions";
         let body = body.as_bytes();
-        let call = Call {
-            addr: &self.addr,
-            method: "POST",
-            path,
-            headers: &headers,
-            body,
-        };
+        let call = Call { addr: &self.addr, method: "POST", path, headers: &headers, body };
         let mut answer = endpoint::call(&call, &watch)?;
         let id = answer.header("x-request-id").unwrap_or("").to_owned();
-        let mut got = Got {
-            status: answer.status,
-            id,
-            ..Got::default()
-        };
+        let mut got = Got { status: answer.status, id, ..Got::default() };
         if got.status != 200 {
             got.text = String::from_utf8_lossy(&answer.whole()?).into_owned();
             got.first = ms(start);
--- a/src/load/demo.rs
+++ b/src/load/demo.rs
@@ -29,11 +29,7 @@
 impl Demo {
     /// A demo whose stand-ins are controlled at `control`.
     pub fn new(control: SocketAddr) -> Self {
-        Self {
-            control,
-            client: Client::new(2_000),
-            clock: Clock::system(),
-        }
+        Self { control, client: Client::new(2_000), clock: Clock::system() }
     }
 
     /// Takes all steps; prints a row for each. The error names the step that failed.
@@ -66,9 +62,7 @@
             let n = ENTRIES.into_iter().filter(|addr| ready(addr)).count();
             let took = self.clock.now() - start;
             if n == ENTRIES.len() {
-                return Ok(format!(
-                    "{n} instances with a configuration after {took} ms"
-                ));
+                return Ok(format!("{n} instances with a configuration after {took} ms"));
             }
             if took > READY {
                 return Err(format!("only {n} are ready after {took} ms"));
@@ -80,14 +74,9 @@
     fn layout(&self) -> Step {
         let prompt = "collection spine layout for twelve atlases len=60";
         let ask = Ask::new(ENTRIES[0], "recife-secret");
-        let got = ask
-            .stream("spine-1", prompt, 500)
-            .map_err(|e| e.to_string())?;
+        let got = ask.stream("spine-1", prompt, 500).map_err(|e| e.to_string())?;
         same(&got.text, &engine::answer(prompt, 500), got.whole)?;
-        Ok(format!(
-            "{} tokens, the first after {:.0} ms",
-            got.tokens, got.first
-        ))
+        Ok(format!("{} tokens, the first after {:.0} ms", got.tokens, got.first))
     }
 
     fn title(&self) -> Step {
@@ -96,37 +85,26 @@
         let ask = Ask::new(ENTRIES[1], "olinda-secret").class("title-check");
         let got = ask.send("POST", "/v1/chat/completions", body.as_bytes());
         let got = got.map_err(|e| e.to_string())?;
-        let text = got.json()["choices"][0]["message"]["content"]
-            .as_str()
-            .unwrap_or("")
-            .to_owned();
+        let text = got.json()["choices"][0]["message"]["content"].as_str().unwrap_or("").to_owned();
         same(&text, &engine::answer(prompt, 100), got.whole)?;
         Ok(format!("whole answer after {:.0} ms", got.last))
     }
 
     fn stock(&self) -> Step {
         let ask = Ask::new(ENTRIES[2], "recife-secret");
-        let got = ask
-            .send("GET", "/svc/orders/stock?title=4711", b"")
-            .map_err(|e| e.to_string())?;
+        let got =
+            ask.send("GET", "/svc/orders/stock?title=4711", b"").map_err(|e| e.to_string())?;
         if got.status != 200 || got.json()["query"] != "title=4711" {
             return Err(format!("status {}: {}", got.status, got.text));
         }
-        Ok(format!(
-            "answered by {} after {:.0} ms",
-            got.json()["by"],
-            got.last
-        ))
+        Ok(format!("answered by {} after {:.0} ms", got.json()["by"], got.last))
     }
 
     fn booking(&self) -> Step {
         let key = uuid::Uuid::now_v7().to_string();
         let send = |addr: &str| {
-            let ask = Ask::new(addr, "praha-secret")
-                .key(&key)
-                .header("x-operation", &key);
-            ask.send("POST", "/svc/orders/bookings", b"{\"crew\":7}")
-                .map_err(|e| e.to_string())
+            let ask = Ask::new(addr, "praha-secret").key(&key).header("x-operation", &key);
+            ask.send("POST", "/svc/orders/bookings", b"{\"crew\":7}").map_err(|e| e.to_string())
         };
         let (one, two) = thread::scope(|s| {
             let one = s.spawn(|| send(ENTRIES[0]));
@@ -154,8 +132,7 @@
             });
             self.clock.sleep(1_000);
             let crashed = self.busy_engine().and_then(|name| {
-                self.post(&format!("/engine?name={name}&fault=crash"))
-                    .map(|()| name)
+                self.post(&format!("/engine?name={name}&fault=crash")).map(|()| name)
             });
             let got = asked.join().map_err(|_| "the caller panicked".to_owned())?;
             Ok::<_, String>((crashed?, got.map_err(|e| e.to_string())?))
@@ -168,14 +145,9 @@
             .map_err(|e| e.to_string())?;
         let attempts = trace["attempts"].as_array().map_or(0, Vec::len);
         if attempts < 2 {
-            return Err(format!(
-                "{engine} crashed, but there was {attempts} attempt"
-            ));
+            return Err(format!("{engine} crashed, but there was {attempts} attempt"));
         }
-        Ok(format!(
-            "{engine} crashed; {} tokens, each once, in {attempts} attempts",
-            got.tokens
-        ))
+        Ok(format!("{engine} crashed; {} tokens, each once, in {attempts} attempts", got.tokens))
     }
 
     fn leave(&self) -> Step {
@@ -183,9 +155,7 @@
         self.clock.sleep(LEAVE);
         for i in 0..30 {
             let ask = Ask::new(ENTRIES[i % 3], "recife-secret");
-            let got = ask
-                .send("GET", "/svc/orders/stock", b"")
-                .map_err(|e| e.to_string())?;
+            let got = ask.send("GET", "/svc/orders/stock", b"").map_err(|e| e.to_string())?;
             if got.json()["by"] == "orders-1" {
                 return Err("orders-1 still gets work".to_owned());
             }
@@ -201,10 +171,7 @@
                 .get_json(&format!("http://{admin}/status"))
                 .map_err(|e| e.to_string())?;
             let services = status["services"].as_array().cloned().unwrap_or_default();
-            let endpoints = services
-                .iter()
-                .filter_map(|s| s["endpoints"].as_array())
-                .flatten();
+            let endpoints = services.iter().filter_map(|s| s["endpoints"].as_array()).flatten();
             let mut busy = endpoints.filter(|e| e["own"].as_u64().unwrap_or(0) > 0);
             if let Some(e) = busy.next() {
                 return Ok(e["name"].as_str().unwrap_or("").to_owned());
@@ -220,10 +187,7 @@
 
     fn post(&self, path: &str) -> Result<(), String> {
         let url = format!("http://{}{path}", self.control);
-        self.client
-            .post(&url, &[])
-            .map(drop)
-            .map_err(|e| e.to_string())
+        self.client.post(&url, &[]).map(drop).map_err(|e| e.to_string())
     }
 }
 
--- a/src/policy/claim.rs
+++ b/src/policy/claim.rs
@@ -136,10 +136,7 @@
         if holder.nonce != nonce {
             return;
         }
-        invariant!(
-            holder.state == State::Held,
-            "claim {nonce} released after it was sent"
-        );
+        invariant!(holder.state == State::Held, "claim {nonce} released after it was sent");
         let until = holder.until;
         self.keys.swap_remove(&key);
         self.freed.insert(nonce, until);
@@ -160,10 +157,7 @@
     /// Claims held by `boot` whose outcome is open.
     pub fn held_by(&self, boot: Uuid) -> impl Iterator<Item = (Key, &Holder)> {
         let held = move |h: &Holder| h.boot == boot && h.state == State::Held;
-        self.keys
-            .iter()
-            .filter(move |(_, h)| held(h))
-            .map(|(k, h)| (*k, h))
+        self.keys.iter().filter(move |(_, h)| held(h)).map(|(k, h)| (*k, h))
     }
 }
 
--- a/src/policy/endpoint.rs
+++ b/src/policy/endpoint.rs
@@ -118,9 +118,7 @@
 
     /// True when its reports have stopped.
     pub fn silent(&self, now: Millis) -> bool {
-        self.report
-            .as_ref()
-            .is_some_and(|(at, _)| now.saturating_sub(*at) > REPORT_MAX_AGE)
+        self.report.as_ref().is_some_and(|(at, _)| now.saturating_sub(*at) > REPORT_MAX_AGE)
     }
 
     /// Identity of its present life, empty while unknown.
@@ -140,9 +138,7 @@
 
     /// Load as last reported, with nothing corrected.
     pub fn reported(&self) -> u32 {
-        self.report
-            .as_ref()
-            .map_or(0, |(_, r)| r.running + r.waiting)
+        self.report.as_ref().map_or(0, |(_, r)| r.running + r.waiting)
     }
 
     /// Counts a request sent to it.
@@ -209,10 +205,7 @@
         self.ejections += 1;
         self.faults = 0;
         self.samples = 0;
-        self.health = Health::Ejected {
-            until: now + wait,
-            cause,
-        };
+        self.health = Health::Ejected { until: now + wait, cause };
     }
 
     /// Lets it be probed once its ejection is over.
--- a/src/policy/pool.rs
+++ b/src/policy/pool.rs
@@ -108,10 +108,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Notice {
     /// An endpoint was ejected.
-    Ejected {
-        endpoint: String,
-        cause: &'static str,
-    },
+    Ejected { endpoint: String, cause: &'static str },
     /// An ejected endpoint is in use again.
     Restored { endpoint: String },
     /// An endpoint is leaving.
@@ -166,11 +163,8 @@
 
     /// Takes over classes and workspace limits of a configuration.
     pub fn configure(&mut self, classes: &IndexMap<String, Class>, limits: IndexMap<String, u32>) {
-        let rule = |c: &Class| Rule {
-            tier: c.tier,
-            weight: c.params.weight,
-            share: c.params.share,
-        };
+        let rule =
+            |c: &Class| Rule { tier: c.tier, weight: c.params.weight, share: c.params.share };
         self.rules = classes.iter().map(|(n, c)| (n.clone(), rule(c))).collect();
         self.classes = classes.clone();
         self.limits = limits;
@@ -187,9 +181,7 @@
             }
             e.slots = slots;
             if *leaving && !e.leaving {
-                self.notices.push(Notice::Leaving {
-                    endpoint: name.clone(),
-                });
+                self.notices.push(Notice::Leaving { endpoint: name.clone() });
             }
             e.leaving |= *leaving;
         }
@@ -197,8 +189,7 @@
         for e in self.endpoints.values_mut() {
             e.leaving |= !listed(&e.name);
         }
-        self.endpoints
-            .retain(|name, e| listed(name) || e.running() > 0);
+        self.endpoints.retain(|name, e| listed(name) || e.running() > 0);
     }
 
     /// Takes in an endpoint's load report.
@@ -210,9 +201,7 @@
         let draining = report.draining && mechanism::on(Mechanism::Leavers);
         e.heard(now, Report { draining, ..report });
         if e.leaving && !before {
-            self.notices.push(Notice::Leaving {
-                endpoint: endpoint.to_owned(),
-            });
+            self.notices.push(Notice::Leaving { endpoint: endpoint.to_owned() });
         }
     }
 
@@ -224,18 +213,14 @@
         let same = e.boot() == boot || e.boot().is_empty();
         if !e.leaving && same && mechanism::on(Mechanism::Leavers) {
             e.leaving = true;
-            self.notices.push(Notice::Leaving {
-                endpoint: endpoint.to_owned(),
-            });
+            self.notices.push(Notice::Leaving { endpoint: endpoint.to_owned() });
         }
     }
 
     /// Endpoints known to be leaving, with their lives.
     pub fn leavers(&self) -> Vec<(String, String)> {
         let leavers = self.endpoints.values().filter(|e| e.leaving);
-        leavers
-            .map(|e| (e.name.clone(), e.boot().to_owned()))
-            .collect()
+        leavers.map(|e| (e.name.clone(), e.boot().to_owned())).collect()
     }
 
     /// Sets which instances share the service, by number; the own one may be among them.
@@ -311,25 +296,15 @@
     }
 
     fn running_of(&self, class: &str) -> u32 {
-        self.running
-            .values()
-            .filter(|r| r.job.class == class)
-            .count() as u32
+        self.running.values().filter(|r| r.job.class == class).count() as u32
     }
 
     fn running_for(&self, workspace: &str) -> u32 {
-        self.running
-            .values()
-            .filter(|r| r.job.workspace == workspace)
-            .count() as u32
+        self.running.values().filter(|r| r.job.workspace == workspace).count() as u32
     }
 
     fn slots(&self) -> u32 {
-        self.endpoints
-            .values()
-            .filter(|e| e.open())
-            .map(|e| e.slots)
-            .sum()
+        self.endpoints.values().filter(|e| e.open()).map(|e| e.slots).sum()
     }
 
     /// A request comes in, for the first time or for another attempt.
@@ -340,10 +315,7 @@
         let params = class.params;
         let first = job.avoid.is_empty();
         if first {
-            self.budgets
-                .entry(job.class.clone())
-                .or_default()
-                .earn(params.retry_ratio);
+            self.budgets.entry(job.class.clone()).or_default().earn(params.retry_ratio);
         }
         let hopeless = first && !class.protected && self.strategy == Strategy::Ours;
         if hopeless && now as f64 + self.expected_wait(now, &job) > job.deadline as f64 {
@@ -409,17 +381,11 @@
             }
             Outcome::Bad if e.bad() && ejectable => {
                 e.eject(now, Cause::Faults);
-                self.notices.push(Notice::Ejected {
-                    endpoint,
-                    cause: "faults",
-                });
+                self.notices.push(Notice::Ejected { endpoint, cause: "faults" });
             }
             Outcome::Crashed => {
                 if e.health == Health::Up {
-                    self.notices.push(Notice::Ejected {
-                        endpoint,
-                        cause: "crash",
-                    });
+                    self.notices.push(Notice::Ejected { endpoint, cause: "crash" });
                 }
                 e.eject(now, Cause::Faults);
             }
@@ -449,11 +415,7 @@
         if self.strategy != Strategy::Ours || !self.ejectable() {
             return;
         }
-        let mut speeds: Vec<f64> = self
-            .endpoints
-            .values()
-            .filter_map(Endpoint::speed)
-            .collect();
+        let mut speeds: Vec<f64> = self.endpoints.values().filter_map(Endpoint::speed).collect();
         if speeds.len() < 3 {
             return;
         }
@@ -465,10 +427,7 @@
         if let Some(e) = self.endpoints.values_mut().find(slow) {
             e.eject(now, Cause::Slow);
             let endpoint = e.name.clone();
-            self.notices.push(Notice::Ejected {
-                endpoint,
-                cause: "slow",
-            });
+            self.notices.push(Notice::Ejected { endpoint, cause: "slow" });
         }
     }
 
@@ -476,32 +435,19 @@
     pub fn quota(&self, now: Millis) -> Quota {
         let all = self.slots();
         if !mechanism::on(Mechanism::Shares) {
-            return Quota {
-                spare: all,
-                ..Quota::default()
-            };
+            return Quota { spare: all, ..Quota::default() };
         }
         let reserve = all * self.silent(now) as u32 / (self.peers.len() as u32 + 1);
         let mut demand: Vec<(u64, Demand)> = vec![(self.me, self.demand())];
         for (id, peer) in &self.peers {
-            let Some(p) = peer
-                .as_ref()
-                .filter(|p| now.saturating_sub(p.at) <= PEER_MAX_AGE)
-            else {
+            let Some(p) = peer.as_ref().filter(|p| now.saturating_sub(p.at) <= PEER_MAX_AGE) else {
                 continue;
             };
-            let sums = p
-                .load
-                .classes
-                .iter()
-                .map(|(c, (run, wait))| (c.clone(), run + wait));
+            let sums = p.load.classes.iter().map(|(c, (run, wait))| (c.clone(), run + wait));
             demand.push((*id, sums.collect()));
         }
         demand.sort_by_key(|(id, _)| *id);
-        let row = demand
-            .iter()
-            .position(|(id, _)| *id == self.me)
-            .unwrap_or(0);
+        let row = demand.iter().position(|(id, _)| *id == self.me).unwrap_or(0);
         let rows: Vec<Demand> = demand.into_iter().map(|(_, d)| d).collect();
         let mut grid = share::divide(all - reserve, &self.rules, &rows, now / ROTATION);
         std::mem::take(&mut grid[row])
@@ -516,10 +462,8 @@
         let Some(limit) = self.limits.get(workspace).copied().filter(|n| *n > 0) else {
             return false;
         };
-        let others: u32 = self
-            .heard(now)
-            .map(|p| p.load.workspaces.get(workspace).copied().unwrap_or(0))
-            .sum();
+        let others: u32 =
+            self.heard(now).map(|p| p.load.workspaces.get(workspace).copied().unwrap_or(0)).sum();
         let silent = self.silent(now) as u32;
         let own = limit - limit * silent / (self.peers.len() as u32 + 1);
         self.running_for(workspace) + others >= own.max(1)
@@ -540,11 +484,8 @@
         let Some(job) = self.queue.oldest() else {
             return Step::Wait;
         };
-        let open: Vec<&Endpoint> = self
-            .endpoints
-            .values()
-            .filter(|e| e.open() && !job.avoid.contains(&e.name))
-            .collect();
+        let open: Vec<&Endpoint> =
+            self.endpoints.values().filter(|e| e.open() && !job.avoid.contains(&e.name)).collect();
         let id = job.id;
         let chosen = match self.strategy {
             Strategy::Least => open.iter().min_by_key(|e| e.reported()),
@@ -578,10 +519,7 @@
     /// Best job of a class whose workspace is below its limit.
     fn best(&self, now: Millis, class: &str) -> Option<Job> {
         let ranked = self.queue.ranked(class, now, |w| self.running_for(w));
-        ranked
-            .into_iter()
-            .find(|j| !self.limited(now, &j.workspace))
-            .cloned()
+        ranked.into_iter().find(|j| !self.limited(now, &j.workspace)).cloned()
     }
 
     fn priority(&self, class: &str, lane: Lane) -> u8 {
@@ -594,10 +532,8 @@
     /// Classes that may start a job now, the most urgent first.
     fn lanes(&self, quota: &Quota) -> Vec<(String, Lane)> {
         let part = |map: &IndexMap<String, u32>, class: &str| map.get(class).copied().unwrap_or(0);
-        let excess = |class: &String| {
-            self.running_of(class)
-                .saturating_sub(part(&quota.slots, class))
-        };
+        let excess =
+            |class: &String| self.running_of(class).saturating_sub(part(&quota.slots, class));
         let spare_used: u32 = self.rules.keys().map(excess).sum();
         let mut lanes = Vec::new();
         for (class, rule) in &self.rules {
@@ -618,11 +554,7 @@
             lanes.push((class.clone(), lane));
         }
         lanes.sort_by_cached_key(|(class, lane)| {
-            (
-                *lane == Lane::Over,
-                self.rules[class].tier,
-                self.queue.urgency(class),
-            )
+            (*lane == Lane::Over, self.rules[class].tier, self.queue.urgency(class))
         });
         lanes
     }
@@ -651,9 +583,7 @@
             }
         }
         weighed.sort_by(|a, b| a.1.total_cmp(&b.1));
-        weighed
-            .first()
-            .map(|(name, _)| (name.clone(), weighed.clone()))
+        weighed.first().map(|(name, _)| (name.clone(), weighed.clone()))
     }
 
     /// Endpoints that may take the job, with their loads and costs.
@@ -664,11 +594,7 @@
             *peers.entry(name).or_default() += n;
         }
         let all_silent = self.endpoints.values().all(|e| e.silent(now));
-        let gaps: Vec<f64> = self
-            .endpoints
-            .values()
-            .filter_map(Endpoint::speed)
-            .collect();
+        let gaps: Vec<f64> = self.endpoints.values().filter_map(Endpoint::speed).collect();
         let pace = gaps.iter().sum::<f64>() / gaps.len().max(1) as f64;
         let fits = |e: &&Endpoint| {
             e.open()
@@ -682,15 +608,8 @@
                 continue;
             }
             let filled = f64::from(load + 1) / f64::from(e.slots);
-            let slow = e
-                .speed()
-                .filter(|_| pace > 0.0)
-                .map_or(1.0, |s| (s / pace).max(1.0));
-            let away = if e.domain == self.domain {
-                0.0
-            } else {
-                DOMAIN_COST
-            };
+            let slow = e.speed().filter(|_| pace > 0.0).map_or(1.0, |s| (s / pace).max(1.0));
+            let away = if e.domain == self.domain { 0.0 } else { DOMAIN_COST };
             let beside = 0.5 * f64::from(e.suspects);
             open.push(Candidate {
                 name: e.name.clone(),
@@ -716,10 +635,7 @@
             return Step::Wait;
         };
         let e = &mut self.endpoints[endpoint];
-        invariant!(
-            e.open(),
-            "job {id} granted to {endpoint}, which takes no work"
-        );
+        invariant!(e.open(), "job {id} granted to {endpoint}, which takes no work");
         e.start(&job.class, job.suspect);
         let grant = Grant {
             job: id,
@@ -729,14 +645,7 @@
             priority,
             weighed,
         };
-        self.running.insert(
-            id,
-            Running {
-                job,
-                endpoint: endpoint.to_owned(),
-                since: now,
-            },
-        );
+        self.running.insert(id, Running { job, endpoint: endpoint.to_owned(), since: now });
         Step::Grant(grant)
     }
 }
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -37,15 +37,10 @@
             *counts.entry(j.workspace.as_str()).or_default() += 1;
         }
         let own = counts.get(job.workspace.as_str()).copied().unwrap_or(0) + 1;
-        let most = counts
-            .iter()
-            .max_by_key(|(_, n)| **n)
-            .map(|(w, n)| ((*w).to_owned(), *n));
+        let most = counts.iter().max_by_key(|(_, n)| **n).map(|(w, n)| ((*w).to_owned(), *n));
         match most {
             Some((workspace, n)) if n > own && mechanism::on(Mechanism::Displace) => {
-                let at = list
-                    .iter()
-                    .rposition(|j| j.workspace == workspace && !j.resumed);
+                let at = list.iter().rposition(|j| j.workspace == workspace && !j.resumed);
                 let Some(at) = at else {
                     return Entered::Full(job);
                 };
@@ -96,35 +91,24 @@
         let mut jobs: Vec<&Job> = list.iter().collect();
         jobs.sort_by_cached_key(|j| {
             let late = j.target < now;
-            (
-                !j.resumed,
-                running(&j.workspace),
-                late,
-                if late { j.deadline } else { j.target },
-            )
+            (!j.resumed, running(&j.workspace), late, if late { j.deadline } else { j.target })
         });
         jobs
     }
 
     /// The job that came first of all classes.
     pub fn oldest(&self) -> Option<&Job> {
-        self.classes
-            .values()
-            .flatten()
-            .min_by_key(|j| (j.arrived, j.id))
+        self.classes.values().flatten().min_by_key(|j| (j.arrived, j.id))
     }
 
     /// Earliest target of a class.
     pub fn urgency(&self, class: &str) -> Millis {
         let list = self.classes.get(class);
-        list.and_then(|l| l.iter().map(|j| j.target).min())
-            .unwrap_or(Millis::MAX)
+        list.and_then(|l| l.iter().map(|j| j.target).min()).unwrap_or(Millis::MAX)
     }
 
     /// Time of arrival of the job of a class that waits longest.
     pub fn since(&self, class: &str) -> Option<Millis> {
-        self.classes
-            .get(class)
-            .and_then(|l| l.iter().map(|j| j.arrived).min())
+        self.classes.get(class).and_then(|l| l.iter().map(|j| j.arrived).min())
     }
 }
--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -49,39 +49,23 @@
     if demand.is_empty() {
         return grid;
     }
-    let total = |class: &str| {
-        demand
-            .iter()
-            .map(|d| d.get(class).copied().unwrap_or(0))
-            .sum::<u32>()
-    };
+    let total =
+        |class: &str| demand.iter().map(|d| d.get(class).copied().unwrap_or(0)).sum::<u32>();
     let floors = floors(slots, rules, total);
     let grants = grants(slots, rules, &floors, total);
     for (i, class) in rules.keys().enumerate() {
-        let wants: Vec<u32> = demand
-            .iter()
-            .map(|d| d.get(class).copied().unwrap_or(0))
-            .collect();
+        let wants: Vec<u32> = demand.iter().map(|d| d.get(class).copied().unwrap_or(0)).collect();
         let by_class = turn.wrapping_add(i as u64);
-        for (row, n) in spread(grants[class], &wants, by_class)
-            .into_iter()
-            .enumerate()
-        {
+        for (row, n) in spread(grants[class], &wants, by_class).into_iter().enumerate() {
             grid[row].slots.insert(class.clone(), n);
         }
-        for (row, n) in spread(floors[class], &wants, by_class)
-            .into_iter()
-            .enumerate()
-        {
+        for (row, n) in spread(floors[class], &wants, by_class).into_iter().enumerate() {
             grid[row].floor.insert(class.clone(), n);
         }
     }
     let used: u32 = grants.values().sum();
     let open = vec![slots; demand.len()];
-    for (row, n) in spread(slots.saturating_sub(used), &open, turn)
-        .into_iter()
-        .enumerate()
-    {
+    for (row, n) in spread(slots.saturating_sub(used), &open, turn).into_iter().enumerate() {
         grid[row].spare = n;
     }
     grid
@@ -99,11 +83,7 @@
     let mut map = IndexMap::new();
     for (class, rule) in order {
         let share = (f64::from(slots) * rule.share).floor() as u32;
-        let wanted = if mechanism::on(Mechanism::Floors) {
-            share.max(1)
-        } else {
-            0
-        };
+        let wanted = if mechanism::on(Mechanism::Floors) { share.max(1) } else { 0 };
         let n = wanted.min(total(class)).min(left);
         left -= n;
         map.insert(class.clone(), n);
@@ -159,9 +139,7 @@
     let mut out = vec![0; wants.len()];
     let mut left = units;
     let first = (turn % wants.len().max(1) as u64) as usize;
-    let mut open: Vec<usize> = (0..wants.len())
-        .map(|i| (i + first) % wants.len())
-        .collect();
+    let mut open: Vec<usize> = (0..wants.len()).map(|i| (i + first) % wants.len()).collect();
     open.retain(|i| wants[*i] > 0);
     while left > 0 && !open.is_empty() {
         let part = (left / open.len() as u32).max(1);
--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -123,21 +123,12 @@
 
     /// Every crash counted within the memory, for the peers.
     pub fn export(&self, now: Millis) -> Vec<(Content, Vec<String>)> {
-        let recent = self
-            .map
-            .iter()
-            .filter(|(_, r)| now.saturating_sub(r.last) <= MEMORY);
-        recent
-            .map(|(c, r)| (*c, r.crashes.iter().cloned().collect()))
-            .collect()
+        let recent = self.map.iter().filter(|(_, r)| now.saturating_sub(r.last) <= MEMORY);
+        recent.map(|(c, r)| (*c, r.crashes.iter().cloned().collect())).collect()
     }
 
     /// Contents in quarantine and when each ends.
     pub fn held(&self, now: Millis) -> Vec<(Content, Millis)> {
-        self.map
-            .iter()
-            .filter(|(_, r)| r.until > now)
-            .map(|(c, r)| (*c, r.until))
-            .collect()
+        self.map.iter().filter(|(_, r)| r.until > now).map(|(c, r)| (*c, r.until)).collect()
     }
 }
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -118,12 +118,8 @@
             crossed: false,
             orders: 0,
         };
-        let engine = Arc::new(Self {
-            name: name.to_owned(),
-            shape,
-            clock,
-            state: Mutex::new(state),
-        });
+        let engine =
+            Arc::new(Self { name: name.to_owned(), shape, clock, state: Mutex::new(state) });
         let batch = Arc::clone(&engine);
         thread::spawn(move || batch.run());
         engine
@@ -192,11 +188,7 @@
     fn note(&self, state: &mut State, now: Millis) {
         let (running, waiting) = (state.running.len() as u32, state.waiting.len() as u32);
         state.reports.push_back((now, running, waiting));
-        while state
-            .reports
-            .get(1)
-            .is_some_and(|r| r.0 + self.shape.lag <= now)
-        {
+        while state.reports.get(1).is_some_and(|r| r.0 + self.shape.lag <= now) {
             state.reports.pop_front();
         }
     }
@@ -247,11 +239,7 @@
             let Some(best) = state.waiting.first().map(|r| r.priority) else {
                 return;
             };
-            let worst = state
-                .running
-                .iter()
-                .enumerate()
-                .max_by_key(|(_, r)| (r.priority, r.order));
+            let worst = state.running.iter().enumerate().max_by_key(|(_, r)| (r.priority, r.order));
             let Some((i, _)) = worst.filter(|(_, r)| r.priority > best) else {
                 return;
             };
@@ -307,10 +295,7 @@
         }
         let model = body["model"].as_str().unwrap_or("").to_owned();
         let (words, events) = self.enqueue(&body, u64::from(crossed));
-        if reply
-            .start(200, &[("content-type", "text/event-stream")])
-            .is_err()
-        {
+        if reply.start(200, &[("content-type", "text/event-stream")]).is_err() {
             return;
         }
         self.relay(&id, &model, words, &events, reply);
@@ -344,11 +329,7 @@
             seed,
             poison: whole.contains(POISON),
             prefill,
-            prefill_left: if cached {
-                prefill / CACHED_PART
-            } else {
-                prefill
-            },
+            prefill_left: if cached { prefill / CACHED_PART } else { prefill },
             first,
             at: first,
             end: wanted.min(limit),
@@ -380,10 +361,7 @@
                         "token": n,
                         "choices": [{ "index": 0, "delta": { "content": text }, "finish_reason": null }],
                     });
-                    if reply
-                        .chunk(format!("data: {chunk}\n\n").as_bytes())
-                        .is_err()
-                    {
+                    if reply.chunk(format!("data: {chunk}\n\n").as_bytes()).is_err() {
                         return;
                     }
                 }
@@ -426,17 +404,11 @@
 /// Whole answer to a chat whose messages join to `prompt`.
 pub fn answer(prompt: &str, limit: u64) -> String {
     let seed = xxh3_64(prompt.as_bytes());
-    (0..length(prompt, seed).min(limit))
-        .map(|n| word(seed, n))
-        .collect()
+    (0..length(prompt, seed).min(limit)).map(|n| word(seed, n)).collect()
 }
 
 /// Tokens that a prompt asks for: `len=N` in it, else drawn from its hash.
 fn length(prompt: &str, seed: u64) -> u64 {
-    let stated = prompt
-        .split_whitespace()
-        .find_map(|w| w.strip_prefix("len="));
-    stated
-        .and_then(|n| n.parse().ok())
-        .unwrap_or(16 + seed % 64)
+    let stated = prompt.split_whitespace().find_map(|w| w.strip_prefix("len="));
+    stated.and_then(|n| n.parse().ok()).unwrap_or(16 + seed % 64)
 }
--- a/src/standin/list.rs
+++ b/src/standin/list.rs
@@ -33,17 +33,9 @@
 impl ListStandin {
     /// A list that lags by `lag` milliseconds; `first` is shown from the start.
     pub fn new(clock: Clock, lag: u64, first: Vec<Instance>) -> Arc<Self> {
-        let state = State {
-            now: first.clone(),
-            shown: first,
-            changes: Vec::new(),
-            lag,
-            down: false,
-        };
-        Arc::new(Self {
-            state: Mutex::new(state),
-            clock,
-        })
+        let state =
+            State { now: first.clone(), shown: first, changes: Vec::new(), lag, down: false };
+        Arc::new(Self { state: Mutex::new(state), clock })
     }
 
     /// Serves on `addr`.
@@ -51,11 +43,7 @@
         let list = Arc::clone(self);
         serve(addr, move |_, reply| match list.shown() {
             Some(rows) => json(reply, 200, &serde_json::json!(rows)),
-            None => json(
-                reply,
-                503,
-                &serde_json::json!({ "error": "the list is down" }),
-            ),
+            None => json(reply, 503, &serde_json::json!({ "error": "the list is down" })),
         })
     }
 
@@ -67,11 +55,7 @@
     pub fn shown(&self) -> Option<Vec<Instance>> {
         let now = self.clock.now();
         let mut state = self.lock();
-        let due = state
-            .changes
-            .iter()
-            .take_while(|c| c.at + state.lag <= now)
-            .count();
+        let due = state.changes.iter().take_while(|c| c.at + state.lag <= now).count();
         let last = state.changes.drain(..due).next_back();
         if let Some(change) = last {
             state.shown = change.list;
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -70,11 +70,7 @@
             appends: 0,
             reads: 0,
         };
-        Arc::new(Self {
-            state: Mutex::new(state),
-            grown: Condvar::new(),
-            clock,
-        })
+        Arc::new(Self { state: Mutex::new(state), grown: Condvar::new(), clock })
     }
 
     /// Serves on `addr`.
@@ -125,11 +121,7 @@
         let fault = self.lock().fault;
         match fault {
             Fault::Down => {
-                return json(
-                    reply,
-                    503,
-                    &serde_json::json!({ "error": "the log is down" }),
-                );
+                return json(reply, 503, &serde_json::json!({ "error": "the log is down" }));
             }
             Fault::Hang => return self.hang(reply),
             Fault::Slow(ms) => self.clock.sleep(ms),
@@ -137,11 +129,7 @@
         }
         if request.method == "POST" {
             let Some(offset) = self.append(name, &request.body) else {
-                return json(
-                    reply,
-                    429,
-                    &serde_json::json!({ "error": "too many appends" }),
-                );
+                return json(reply, 429, &serde_json::json!({ "error": "too many appends" }));
             };
             if fault == Fault::Lost {
                 return reply.abort();
@@ -149,21 +137,13 @@
             return json(reply, 200, &serde_json::json!({ "offset": offset }));
         }
         let page = self.read(name, number(request, "from", 0), number(request, "wait", 0));
-        reply
-            .send(
-                200,
-                &[("content-type", codec::MSGPACK)],
-                &codec::pack(&page),
-            )
-            .ok();
+        reply.send(200, &[("content-type", codec::MSGPACK)], &codec::pack(&page)).ok();
     }
 
     fn hang(&self, reply: &mut Reply<'_>) {
         let line = reply.line();
         while self.lock().fault == Fault::Hang
-            && !line
-                .as_ref()
-                .is_none_or(super::super::adapter::serve::Line::gone)
+            && !line.as_ref().is_none_or(super::super::adapter::serve::Line::gone)
         {
             self.clock.sleep(50);
         }
@@ -184,11 +164,7 @@
         state.appends += 1;
         let stream = state.streams.entry(name.to_owned()).or_default();
         let offset = stream.first + stream.records.len() as u64;
-        stream.records.push_back(Record {
-            offset,
-            at: now,
-            data: data.to_vec(),
-        });
+        stream.records.push_back(Record { offset, at: now, data: data.to_vec() });
         self.grown.notify_all();
         Some(offset)
     }
@@ -213,28 +189,12 @@
 fn page(state: &mut State, name: &str, from: u64, now: Millis) -> Page {
     let retention = state.retention;
     let stream = state.streams.entry(name.to_owned()).or_default();
-    while stream
-        .records
-        .front()
-        .is_some_and(|r| r.at + retention < now)
-    {
+    while stream.records.front().is_some_and(|r| r.at + retention < now) {
         stream.records.pop_front();
         stream.first += 1;
     }
     let skip = from.saturating_sub(stream.first) as usize;
-    let records: Vec<Record> = stream
-        .records
-        .iter()
-        .skip(skip)
-        .take(PAGE)
-        .cloned()
-        .collect();
+    let records: Vec<Record> = stream.records.iter().skip(skip).take(PAGE).cloned().collect();
     let next = stream.first + stream.records.len() as u64;
-    Page {
-        oldest: stream.first,
-        next,
-        now,
-        retention,
-        records,
-    }
+    Page { oldest: stream.first, next, now, retention, records }
 }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -13,13 +13,7 @@
 /// Answers with a JSON value; a lost caller is of no interest here.
 pub(crate) fn json(reply: &mut Reply<'_>, status: u16, value: &serde_json::Value) {
     let body = value.to_string();
-    reply
-        .send(
-            status,
-            &[("content-type", "application/json")],
-            body.as_bytes(),
-        )
-        .ok();
+    reply.send(status, &[("content-type", "application/json")], body.as_bytes()).ok();
 }
 
 /// Value of a query parameter.
@@ -30,9 +24,7 @@
 
 /// Numeric query parameter, or `or`.
 pub(crate) fn number(request: &Request, name: &str, or: u64) -> u64 {
-    param(request, name)
-        .and_then(|v| v.parse().ok())
-        .unwrap_or(or)
+    param(request, name).and_then(|v| v.parse().ok()).unwrap_or(or)
 }
 
 /// Starts a server for a stand-in.
--- a/src/standin/proxy.rs
+++ b/src/standin/proxy.rs
@@ -39,12 +39,7 @@
         let listener = TcpListener::bind(addr)?;
         let addr = listener.local_addr()?;
         let (fault, target) = (Mutex::new(Fault::None), Mutex::new(target));
-        let proxy = Arc::new(Self {
-            addr,
-            fault,
-            target,
-            clock,
-        });
+        let proxy = Arc::new(Self { addr, fault, target, clock });
         let inner = Arc::clone(&proxy);
         thread::Builder::new().name("proxy".into()).spawn(move || {
             for stream in listener.incoming().flatten() {
--- a/src/standin/world.rs
+++ b/src/standin/world.rs
@@ -67,15 +67,13 @@
                     restart: span("restart", 2_000, out),
                 };
                 if let Some(a) = addr(s, "listen", out) {
-                    self.engines
-                        .push((instance(s, Role::Endpoint, out), a, shape));
+                    self.engines.push((instance(s, Role::Endpoint, out), a, shape));
                 }
             }
             "plain" => {
                 let took = span("took", 20, out);
                 if let Some(a) = addr(s, "listen", out) {
-                    self.plains
-                        .push((instance(s, Role::Endpoint, out), a, took));
+                    self.plains.push((instance(s, Role::Endpoint, out), a, took));
                 }
             }
             "entry" => {
@@ -189,22 +187,10 @@
             "/counts" => return send_json(reply, 200, &json!(self.counts.all())),
             "/totals" => return send_json(reply, 200, &self.totals()),
             "/log" => self.log.as_ref().is_some_and(|log| log.control(request)),
-            "/list" => self
-                .list
-                .as_ref()
-                .is_some_and(|list| list_control(list, name, request)),
-            "/engine" => self
-                .engines
-                .get(name)
-                .is_some_and(|e| engine_control(e, request)),
-            "/plain" => self
-                .plains
-                .get(name)
-                .is_some_and(|p| plain_control(p, request)),
-            "/proxy" => self
-                .proxies
-                .get(name)
-                .is_some_and(|p| proxy_control(p, request)),
+            "/list" => self.list.as_ref().is_some_and(|list| list_control(list, name, request)),
+            "/engine" => self.engines.get(name).is_some_and(|e| engine_control(e, request)),
+            "/plain" => self.plains.get(name).is_some_and(|p| plain_control(p, request)),
+            "/proxy" => self.proxies.get(name).is_some_and(|p| proxy_control(p, request)),
             _ => false,
         };
         let status = if done { 200 } else { 404 };
@@ -212,11 +198,8 @@
     }
 
     fn totals(&self) -> serde_json::Value {
-        let engines: IndexMap<&str, _> = self
-            .engines
-            .iter()
-            .map(|(n, e)| (n.as_str(), e.totals()))
-            .collect();
+        let engines: IndexMap<&str, _> =
+            self.engines.iter().map(|(n, e)| (n.as_str(), e.totals())).collect();
         let log = self.log.as_ref().map(|l| l.counts()).unwrap_or_default();
         json!({ "engines": engines, "appends": log.0, "reads": log.1 })
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -57,10 +57,7 @@
 
 /// A number from the environment, or `or`.
 pub fn env(name: &str, or: u64) -> u64 {
-    std::env::var(name)
-        .ok()
-        .and_then(|v| v.parse().ok())
-        .unwrap_or(or)
+    std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(or)
 }
 
 /// Waits until `done` holds; panics with `what` after the bound.
@@ -192,12 +189,7 @@
 
     /// Exit code once it has ended.
     pub fn ended(&mut self) -> Option<i32> {
-        self.child
-            .as_mut()
-            .unwrap()
-            .try_wait()
-            .unwrap()
-            .map(|s| s.code().unwrap_or(-1))
+        self.child.as_mut().unwrap().try_wait().unwrap().map(|s| s.code().unwrap_or(-1))
     }
 
     pub fn ask(&self) -> Ask {
@@ -205,21 +197,15 @@
     }
 
     pub fn status(&self) -> Option<Value> {
-        Client::new(1_000)
-            .get_json(&format!("http://{}/status", self.admin))
-            .ok()
+        Client::new(1_000).get_json(&format!("http://{}/status", self.admin)).ok()
     }
 
     pub fn version(&self) -> u64 {
-        self.status()
-            .and_then(|s| s["version"].as_u64())
-            .unwrap_or(0)
+        self.status().and_then(|s| s["version"].as_u64()).unwrap_or(0)
     }
 
     pub fn ready(&self) -> bool {
-        Client::new(1_000)
-            .get(&format!("http://{}/readyz", self.listen))
-            .is_ok()
+        Client::new(1_000).get(&format!("http://{}/readyz", self.listen)).is_ok()
     }
 
     pub fn metrics(&self) -> String {
@@ -282,14 +268,7 @@
                 "linger=200ms".to_owned(),
             ];
             set.extend(shape.set.iter().cloned());
-            entries.push(Instance {
-                name,
-                listen,
-                admin,
-                set,
-                dir: dir.clone(),
-                child: None,
-            });
+            entries.push(Instance { name, listen, admin, set, dir: dir.clone(), child: None });
         }
         for i in 0..shape.engines {
             let (listen, via, domain) = (free(), free(), DOMAINS[i % 3]);
@@ -313,12 +292,7 @@
         }
         let plan = Plan::parse("plan", &plan).unwrap();
         let world = World::start(plan, &Clock::system()).unwrap();
-        let mut rig = Self {
-            world,
-            entries,
-            log_addr: log,
-            dir,
-        };
+        let mut rig = Self { world, entries, log_addr: log, dir };
         if shape.publish {
             rig.publish(&document(0, "ines", &shape.more)).unwrap();
         }
@@ -326,12 +300,8 @@
             entry.start();
         }
         if shape.publish {
-            until("instances are ready", || {
-                rig.entries.iter().all(Instance::ready)
-            });
-            until("peers are heard", || {
-                rig.entries.iter().all(|e| rig.hears_all(e))
-            });
+            until("instances are ready", || rig.entries.iter().all(Instance::ready));
+            until("peers are heard", || rig.entries.iter().all(|e| rig.hears_all(e)));
         }
         rig
     }
@@ -343,8 +313,7 @@
         };
         let peers = status["peers"].as_array().map_or(0, Vec::len);
         let reported = status["services"].as_array().is_some_and(|s| {
-            s.iter()
-                .all(|s| s["endpoints"].as_array().is_some_and(|e| !e.is_empty()))
+            s.iter().all(|s| s["endpoints"].as_array().is_some_and(|e| !e.is_empty()))
         });
         peers + 1 >= self.entries.len() && reported
     }
@@ -353,12 +322,8 @@
     pub fn publish(&self, text: &str) -> Result<String, (i32, String)> {
         let file = self.dir.join(format!("{}.ini", uuid::Uuid::new_v4()));
         std::fs::write(&file, text).unwrap();
-        let out = self.ctl(&[
-            "publish",
-            file.to_str().unwrap(),
-            "--log",
-            &self.log_addr.to_string(),
-        ]);
+        let out =
+            self.ctl(&["publish", file.to_str().unwrap(), "--log", &self.log_addr.to_string()]);
         let text = |b: &[u8]| String::from_utf8_lossy(b).into_owned();
         match out.status.code() {
             Some(0) => Ok(text(&out.stdout)),
@@ -367,10 +332,7 @@
     }
 
     pub fn ctl(&self, args: &[&str]) -> Output {
-        Command::new(env!("CARGO_BIN_EXE_sassafras-ctl"))
-            .args(args)
-            .output()
-            .unwrap()
+        Command::new(env!("CARGO_BIN_EXE_sassafras-ctl")).args(args).output().unwrap()
     }
 
     pub fn log(&self) -> &LogStandin {
@@ -391,24 +353,15 @@
 
     /// Switches a fault on every proxy whose name starts with `prefix`.
     pub fn proxies(&self, prefix: &str, fault: Fault) {
-        for (_, p) in self
-            .world
-            .proxies
-            .iter()
-            .filter(|(n, _)| n.starts_with(prefix))
-        {
+        for (_, p) in self.world.proxies.iter().filter(|(n, _)| n.starts_with(prefix)) {
             p.set_fault(fault);
         }
     }
 
     /// Sends a booking with a key through an instance. A call that breaks has no status.
     pub fn book(&self, entry: usize, key: &str) -> Got {
-        let ask = self.entries[entry]
-            .ask()
-            .key(key)
-            .header("x-operation", key);
-        ask.send("POST", "/svc/orders/bookings", b"{\"crew\":7}")
-            .unwrap_or_default()
+        let ask = self.entries[entry].ask().key(key).header("x-operation", key);
+        ask.send("POST", "/svc/orders/bookings", b"{\"crew\":7}").unwrap_or_default()
     }
 
     /// How often an operation was executed.
@@ -420,13 +373,7 @@
     pub fn unharmed(&self) {
         for entry in &self.entries {
             if let Some(status) = entry.status() {
-                assert_eq!(
-                    status["violations"],
-                    0,
-                    "{}: {}",
-                    entry.name,
-                    entry.output()
-                );
+                assert_eq!(status["violations"], 0, "{}: {}", entry.name, entry.output());
             }
         }
     }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -143,11 +143,7 @@
     let mut highest = [0; READERS];
     for step in history {
         match *step {
-            Move::Publish {
-                by,
-                valid: good,
-                twice,
-            } => {
+            Move::Publish { by, valid: good, twice } => {
                 let publish = Publish {
                     id: Uuid::from_u128(all.len() as u128),
                     base: readers[by].version(),
@@ -181,12 +177,7 @@
             let right = truth[reader.next() as usize];
             assert!(reader.version() <= right, "reader {i} is ahead of the log");
             if reader.known() {
-                assert_eq!(
-                    reader.version(),
-                    right,
-                    "reader {i} differs at {}",
-                    reader.next()
-                );
+                assert_eq!(reader.version(), right, "reader {i} differs at {}", reader.next());
             }
         }
     }
@@ -226,15 +217,9 @@
             text: document(base, "ines", ""),
         })
     };
-    assert_eq!(
-        fold.apply(0, 0, publish(0, 1))[0].outcome,
-        Outcome::Accepted { version: 1 }
-    );
+    assert_eq!(fold.apply(0, 0, publish(0, 1))[0].outcome, Outcome::Accepted { version: 1 });
     assert!(fold.apply(1, 0, publish(0, 1)).is_empty());
-    let conflict = Outcome::Conflict {
-        version: 1,
-        author: "ines".to_owned(),
-    };
+    let conflict = Outcome::Conflict { version: 1, author: "ines".to_owned() };
     assert_eq!(fold.apply(2, 0, publish(0, 2))[0].outcome, conflict);
     assert_eq!(fold.version(), 1);
 }
@@ -257,14 +242,9 @@
         assert_eq!(won, 1, "{results:?}");
         let (code, text) = results.iter().find_map(|r| r.as_ref().err()).unwrap();
         assert_eq!(*code, 4);
-        assert!(
-            text.contains(&format!("conflict with version {}", base + 1)),
-            "{text}"
-        );
+        assert!(text.contains(&format!("conflict with version {}", base + 1)), "{text}");
     }
-    until("version 4 is in force", || {
-        rig.entries.iter().all(|e| e.version() == 4)
-    });
+    until("version 4 is in force", || rig.entries.iter().all(|e| e.version() == 4));
     rig.unharmed();
 }
 
@@ -287,9 +267,7 @@
     });
     rig.proxy("log-e1").set_fault(proxy::Fault::None);
     rig.publish(&document(2, "ines", "")).unwrap();
-    until("version 3 is in force", || {
-        rig.entries.iter().all(|e| e.version() == 3)
-    });
+    until("version 3 is in force", || rig.entries.iter().all(|e| e.version() == 3));
     rig.unharmed();
 }
 
@@ -300,9 +278,7 @@
     let out = rig.publish(&document(1, "ines", "")).unwrap();
     assert!(out.contains("version 2"), "{out}");
     rig.log().set_fault(log::Fault::None);
-    until("version 2 is in force", || {
-        rig.entries.iter().all(|e| e.version() == 2)
-    });
+    until("version 2 is in force", || rig.entries.iter().all(|e| e.version() == 2));
 }
 
 #[test]
@@ -319,24 +295,17 @@
 
 #[test]
 fn configuration_outlives_the_logs_retention() {
-    let shape = Shape {
-        retention: 4_000,
-        ..Shape::default()
-    };
+    let shape = Shape { retention: 4_000, ..Shape::default() };
     let mut rig = Rig::start(&shape);
     rig.publish(&document(1, "ines", "")).unwrap();
-    until("version 2 is in force", || {
-        rig.entries.iter().all(|e| e.version() == 2)
-    });
+    until("version 2 is in force", || rig.entries.iter().all(|e| e.version() == 2));
     // Twice the retention: the publication itself has expired by then.
     pass(2 * shape.retention);
     for entry in &mut rig.entries {
         entry.kill();
     }
     rig.entries[0].start();
-    until("the new instance has version 2 from the log", || {
-        rig.entries[0].version() == 2
-    });
+    until("the new instance has version 2 from the log", || rig.entries[0].version() == 2);
     rig.publish(&document(2, "ines", "")).unwrap();
     until("version 3 is in force", || rig.entries[0].version() == 3);
 }
@@ -345,56 +314,35 @@
 fn cold_start_without_the_log_takes_the_configuration_from_peers() {
     let mut rig = Rig::start(&Shape::default());
     rig.publish(&document(1, "ines", "")).unwrap();
-    until("version 2 is in force", || {
-        rig.entries.iter().all(|e| e.version() == 2)
-    });
+    until("version 2 is in force", || rig.entries.iter().all(|e| e.version() == 2));
     rig.log().set_fault(log::Fault::Down);
     rig.entries[0].kill();
     let start = Instant::now();
     rig.entries[0].start();
-    until_within("the new instance is ready", IN_FORCE, &mut || {
-        rig.entries[0].ready()
-    });
+    until_within("the new instance is ready", IN_FORCE, &mut || rig.entries[0].ready());
     assert_eq!(rig.entries[0].version(), 2);
-    let got = rig.entries[0]
-        .ask()
-        .stream("spine-1", "cold start len=5", 9)
-        .unwrap();
+    let got = rig.entries[0].ask().stream("spine-1", "cold start len=5", 9).unwrap();
     assert!(got.whole, "{got:?} after {:?}", start.elapsed());
 }
 
 #[test]
 fn audit_tells_changes_key_by_key_and_conflicts() {
-    let rig = Rig::start(&Shape {
-        entries: 1,
-        ..Shape::default()
-    });
-    rig.publish(&document(1, "ana", "").replace("deadline = 20s", "deadline = 21s"))
-        .unwrap();
+    let rig = Rig::start(&Shape { entries: 1, ..Shape::default() });
+    rig.publish(&document(1, "ana", "").replace("deadline = 20s", "deadline = 21s")).unwrap();
     rig.publish(&document(1, "rui", "")).unwrap_err();
     let out = rig.ctl(&["audit", "--log", &rig.log_addr.to_string()]);
     let text = String::from_utf8(out.stdout).unwrap();
     assert!(text.contains("edit of version 1 by ana, reviewed by tomas: accepted as version 2"));
-    assert!(
-        text.contains("[defaults] deadline: `20s` becomes `21s`"),
-        "{text}"
-    );
+    assert!(text.contains("[defaults] deadline: `20s` becomes `21s`"), "{text}");
     assert!(text.contains("edit of version 1 by rui, reviewed by tomas: conflict with version 2"));
 }
 
 #[test]
 fn shown_document_can_be_published_again() {
-    let rig = Rig::start(&Shape {
-        entries: 1,
-        ..Shape::default()
-    });
+    let rig = Rig::start(&Shape { entries: 1, ..Shape::default() });
     let admin = rig.entries[0].admin.to_string();
-    until("version 1 is in force", || {
-        rig.entries.iter().all(|e: &Instance| e.version() == 1)
-    });
+    until("version 1 is in force", || rig.entries.iter().all(|e: &Instance| e.version() == 1));
     let out = rig.ctl(&["show", "--entry", &admin]);
-    let out = rig
-        .publish(&String::from_utf8(out.stdout).unwrap())
-        .unwrap();
+    let out = rig.publish(&String::from_utf8(out.stdout).unwrap()).unwrap();
     assert!(out.contains("version 2"), "{out}");
 }
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -48,10 +48,7 @@
 
 #[test]
 fn killed_claimant_leaves_unknown() {
-    let rig = Rig::start(&Shape {
-        took: 1_500,
-        ..Shape::default()
-    });
+    let rig = Rig::start(&Shape { took: 1_500, ..Shape::default() });
     let key = key();
     thread::scope(|s| {
         let first = s.spawn(|| rig.book(0, &key));
@@ -89,10 +86,7 @@
 
 #[test]
 fn frozen_claimant_wakes_and_answers() {
-    let rig = Rig::start(&Shape {
-        took: 300,
-        ..Shape::default()
-    });
+    let rig = Rig::start(&Shape { took: 300, ..Shape::default() });
     let key = key();
     thread::scope(|s| {
         let first = s.spawn(|| rig.book(0, &key));
@@ -114,10 +108,7 @@
 fn frozen_before_sending_past_its_deadline_runs_nothing() {
     let more = "[exception short]\nclass = booking\ndeadline = 2s\nfirst_token = 1s\n\
                 reason = a test\nauthor = ines\nreviewer = tomas\n";
-    let rig = Rig::start(&Shape {
-        more: more.to_owned(),
-        ..Shape::default()
-    });
+    let rig = Rig::start(&Shape { more: more.to_owned(), ..Shape::default() });
     let key = key();
     let before = rig.log().counts().0;
     rig.proxy("log-e1").set_fault(proxy::Fault::CutAnswers);
@@ -147,26 +138,14 @@
     let start = Instant::now();
     let got = rig.book(0, &key);
     assert!(start.elapsed() < QUICK);
-    assert_eq!(
-        (got.code.as_str(), got.ran.as_str()),
-        ("log_unavailable", "no"),
-        "{got:?}"
-    );
+    assert_eq!((got.code.as_str(), got.ran.as_str()), ("log_unavailable", "no"), "{got:?}");
     assert_eq!(rig.count(&key), 0);
-    let lookup = rig.entries[1]
-        .ask()
-        .send("GET", "/svc/orders/stock", b"")
-        .unwrap();
+    let lookup = rig.entries[1].ask().send("GET", "/svc/orders/stock", b"").unwrap();
     assert_eq!(lookup.status, 200);
-    let chat = rig.entries[2]
-        .ask()
-        .stream("spine-1", "chat goes on len=5", 9)
-        .unwrap();
+    let chat = rig.entries[2].ask().stream("spine-1", "chat goes on len=5", 9).unwrap();
     assert!(chat.whole);
     rig.log().set_fault(log::Fault::None);
-    until("the booking runs after the outage", || {
-        rig.book(1, &key).status == 200
-    });
+    until("the booking runs after the outage", || rig.book(1, &key).status == 200);
     assert_eq!(rig.count(&key), 1);
     rig.unharmed();
 }
@@ -187,11 +166,7 @@
     assert_eq!(rig.count(&key), 1);
     rig.entries[2].kill();
     let got = rig.book(1, &lost);
-    assert_eq!(
-        (got.code.as_str(), got.ran.as_str()),
-        ("key_home_gone", "unknown"),
-        "{got:?}"
-    );
+    assert_eq!((got.code.as_str(), got.ran.as_str()), ("key_home_gone", "unknown"), "{got:?}");
     assert_eq!(rig.count(&lost), 0);
 }
 
@@ -242,10 +217,7 @@
 
 #[test]
 fn unreached_endpoint_is_replaced() {
-    let rig = Rig::start(&Shape {
-        plains: 1,
-        ..Shape::default()
-    });
+    let rig = Rig::start(&Shape { plains: 1, ..Shape::default() });
     rig.world.list.as_ref().unwrap().add(Instance {
         name: "orders-9".to_owned(),
         role: Role::Endpoint,
@@ -256,9 +228,7 @@
         phase: Phase::Live,
     });
     until("the dead endpoint is listed", || {
-        rig.entries[0]
-            .status()
-            .is_some_and(|s| s.to_string().contains("orders-9"))
+        rig.entries[0].status().is_some_and(|s| s.to_string().contains("orders-9"))
     });
     for _ in 0..10 {
         let key = key();
@@ -282,9 +252,7 @@
         entry.kill();
         entry.start();
     }
-    until("new instances are ready", || {
-        rig.entries.iter().all(common::Instance::ready)
-    });
+    until("new instances are ready", || rig.entries.iter().all(common::Instance::ready));
     let again = rig.book(2, &key);
     assert_eq!((again.status, &again.text), (200, &first.text), "{again:?}");
     assert_eq!(rig.count(&key), 1);
@@ -292,32 +260,16 @@
 
 #[test]
 fn key_rules_are_told() {
-    let rig = Rig::start(&Shape {
-        entries: 1,
-        ..Shape::default()
-    });
-    let old = Uuid::new_v7(uuid::Timestamp::from_unix(
-        uuid::NoContext,
-        1_600_000_000,
-        0,
-    ));
+    let rig = Rig::start(&Shape { entries: 1, ..Shape::default() });
+    let old = Uuid::new_v7(uuid::Timestamp::from_unix(uuid::NoContext, 1_600_000_000, 0));
     let got = rig.book(0, &old.to_string());
-    assert_eq!(
-        (got.code.as_str(), got.ran.as_str()),
-        ("key_expired", "unknown")
-    );
-    let ahead = Uuid::new_v7(uuid::Timestamp::from_unix(
-        uuid::NoContext,
-        9_000_000_000,
-        0,
-    ));
+    assert_eq!((got.code.as_str(), got.ran.as_str()), ("key_expired", "unknown"));
+    let ahead = Uuid::new_v7(uuid::Timestamp::from_unix(uuid::NoContext, 9_000_000_000, 0));
     assert_eq!(rig.book(0, &ahead.to_string()).code, "key_ahead");
     let key = key();
     assert_eq!(rig.book(0, &key).status, 200);
     let ask = rig.entries[0].ask().key(&key);
-    let got = ask
-        .send("POST", "/svc/orders/bookings", b"{\"crew\":8}")
-        .unwrap();
+    let got = ask.send("POST", "/svc/orders/bookings", b"{\"crew\":8}").unwrap();
     assert_eq!(got.code, "key_reused");
 }
 
@@ -329,10 +281,7 @@
 /// Random faults and resends: no key runs twice, "not run" is true, whole answers agree.
 #[test]
 fn long_run_with_random_faults() {
-    let mut rig = Rig::start(&Shape {
-        took: 10,
-        ..Shape::default()
-    });
+    let mut rig = Rig::start(&Shape { took: 10, ..Shape::default() });
     let mut rng = ChaCha8Rng::seed_from_u64(common::env("SASSAFRAS_SEED", SEED));
     for round in 0..common::env("SASSAFRAS_ROUNDS", ROUNDS) {
         let fault = rng.random_range(0..8);
@@ -349,9 +298,8 @@
             _ => {}
         }
         let keys: Vec<String> = (0..4).map(|_| key()).collect();
-        let sends: Vec<(usize, usize)> = (0..8)
-            .map(|i| (i % 4, rng.random_range(0..3usize)))
-            .collect();
+        let sends: Vec<(usize, usize)> =
+            (0..8).map(|i| (i % 4, rng.random_range(0..3usize))).collect();
         let got: Vec<(usize, Got)> = thread::scope(|s| {
             let sent: Vec<_> = sends
                 .iter()
@@ -366,21 +314,11 @@
         });
         for (k, key) in keys.iter().enumerate() {
             let count = rig.count(key);
-            assert!(
-                count <= 1,
-                "round {round}, fault {fault}: {key} ran {count} times"
-            );
-            let mine: Vec<&Got> = got
-                .iter()
-                .filter(|(i, _)| *i == k)
-                .map(|(_, g)| g)
-                .collect();
+            assert!(count <= 1, "round {round}, fault {fault}: {key} ran {count} times");
+            let mine: Vec<&Got> = got.iter().filter(|(i, _)| *i == k).map(|(_, g)| g).collect();
             let whole: Vec<&&Got> = mine.iter().filter(|g| g.status == 200).collect();
             assert!(whole.is_empty() || count == 1, "round {round}: {mine:?}");
-            assert!(
-                whole.iter().all(|g| g.text == whole[0].text),
-                "round {round}: {mine:?}"
-            );
+            assert!(whole.iter().all(|g| g.text == whole[0].text), "round {round}: {mine:?}");
             if mine.iter().all(|g| g.ran == "no") {
                 assert_eq!(count, 0, "round {round}, fault {fault}: {mine:?}");
             }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -24,15 +24,9 @@
 fn answers_whole_without_stream() {
     let rig = Rig::start(&Shape::default());
     let body = chat("spine-1", "a title len=9", 5, false).to_string();
-    let got = rig.entries[0]
-        .ask()
-        .send("POST", "/v1/chat/completions", body.as_bytes())
-        .unwrap();
+    let got = rig.entries[0].ask().send("POST", "/v1/chat/completions", body.as_bytes()).unwrap();
     let value = got.json();
-    assert_eq!(
-        value["choices"][0]["message"]["content"],
-        engine::answer("a title len=9", 5)
-    );
+    assert_eq!(value["choices"][0]["message"]["content"], engine::answer("a title len=9", 5));
     assert_eq!(value["choices"][0]["finish_reason"], "length");
     assert_eq!(value["usage"]["completion_tokens"], 5);
 }
@@ -43,15 +37,8 @@
     let prompt = "a long assessment len=300";
     let got = std::thread::scope(|s| {
         let asked = s.spawn(|| rig.entries[0].ask().stream("spine-1", prompt, 500).unwrap());
-        until("an engine generates", || {
-            rig.world.engines.values().any(|e| e.totals().tokens > 50)
-        });
-        let busy = rig
-            .world
-            .engines
-            .values()
-            .find(|e| e.totals().tokens > 50)
-            .unwrap();
+        until("an engine generates", || rig.world.engines.values().any(|e| e.totals().tokens > 50));
+        let busy = rig.world.engines.values().find(|e| e.totals().tokens > 50).unwrap();
         busy.crash();
         asked.join().unwrap()
     });
