Split a class's slots in proportion to demand; bound queues fleet-wide

The max-min split gave every instance with demand the same part, so the crowded one drained slowest. Change: largest remainders in proportion to demand; a class's queue bound holds for the whole fleet; token gaps are learned while streams run and shared with peers, and streams on a straggler go on elsewhere while there is room. Conclusion: proportion, not equality, is what keeps the instances together like one queue.

--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -24,7 +24,7 @@
         pub between_tokens: u64,
         /// Time after which an answer is of no use.
         pub deadline: u64,
-        /// Longest queue of the class on one instance, in requests.
+        /// Longest queue of the class in the whole fleet, in requests.
         pub queue: u32,
         /// Weight against other classes of the same tier.
         pub weight: u32,
@@ -145,7 +145,7 @@
             first_token: 1_900,
             between_tokens: 30,
             deadline: 60_000,
-            queue: 200,
+            queue: 2_000,
             weight: 1,
             share: 0.02,
             retry_ratio: 0.1,
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -55,6 +55,8 @@
     Draining,
     /// It failed. `sent`: a byte may have left. `from`: the next token that is missing.
     Failed { fault: Fault, sent: bool, from: u64 },
+    /// The stream should go on at another endpoint, from the token `from`.
+    Moved { from: u64 },
     /// The caller hung up.
     CallerGone,
 }
@@ -200,6 +202,14 @@
             Tried::CallerGone => {
                 (Next::CallerGone, Outcome::Neutral, "the caller hung up".to_owned())
             }
+            Tried::Moved { from } => {
+                self.sent = true;
+                self.from = from;
+                self.avoid.push(grant.endpoint.clone());
+                self.entry.metrics.retried(&self.order.class, "moved");
+                let word = format!("moved at token {from}");
+                (Next::After(After::Again), Outcome::Neutral, word)
+            }
             Tried::Draining => {
                 self.avoid.push(grant.endpoint.clone());
                 let after = self.retry_unsent();
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -31,6 +31,9 @@
 const ATTEMPT_MAX: u64 = 1_800_000;
 const JSON: (&str, &str) = ("content-type", "application/json");
 
+/// Tokens over which a stream's pace is taken.
+const PACE_TOKENS: u64 = 10;
+
 /// What a caller asks for.
 struct Ask {
     model: String,
@@ -105,6 +108,7 @@
         text: String::new(),
         last: 0,
         first: 0,
+        paced: (0, 0),
     };
     match key {
         Some((text, key)) => {
@@ -126,6 +130,8 @@
     text: String,
     first: Millis,
     last: Millis,
+    /// When the pace was last taken, 0 for never in this attempt, and at which token.
+    paced: (Millis, u64),
 }
 
 impl Talk<'_, '_> {
@@ -206,6 +212,7 @@
         let gone =
             move || !once && line.as_ref().is_some_and(super::super::adapter::serve::Line::gone);
         let watch = Watch::new(silence, ATTEMPT_MAX, Box::new(gone));
+        self.paced = (0, from);
         let attempt = format!("{}-{}", self.order.id, grant.job);
         let body = self.engine_body(grant, from).to_string();
         let headers =
@@ -217,9 +224,10 @@
             headers: &headers,
             body: body.as_bytes(),
         };
-        match self.stream(&call, &watch, &attempt, live) {
+        match self.stream(&call, &watch, &attempt, live, grant) {
             Ok(Heard::End(end)) => Tried::Whole(end, self.gap(from)),
             Ok(Heard::Draining) => Tried::Draining,
+            Ok(Heard::Moved) => Tried::Moved { from: self.next },
             Ok(Heard::CallerGone) | Err(Fault::Cancelled) => Tried::CallerGone,
             Err(fault) => {
                 if !live {
@@ -247,6 +255,7 @@
         watch: &Arc<Watch>,
         attempt: &str,
         live: bool,
+        grant: &Grant,
     ) -> Result<Heard, Fault> {
         let mut answer = endpoint::call(call, watch)?;
         match answer.status {
@@ -268,6 +277,9 @@
                     if self.token(&text, live).is_err() {
                         return Ok(Heard::CallerGone);
                     }
+                    if self.should_move(grant) {
+                        return Ok(Heard::Moved);
+                    }
                 }
                 Chunk::Repeated => {}
                 Chunk::End(end) => return Ok(Heard::End(end)),
@@ -275,6 +287,22 @@
         }
     }
 
+    /// Tells the pool the pace from time to time; true when the stream should go on elsewhere.
+    fn should_move(&mut self, grant: &Grant) -> bool {
+        let (since, from) = self.paced;
+        let tokens = self.next - from;
+        if tokens < PACE_TOKENS {
+            return false;
+        }
+        self.paced = (self.last, self.next);
+        let Some(hall) = self.entry.hall(&self.order.service) else { return false };
+        // The first tokens wait for the prefill and say nothing of the pace.
+        if since > 0 {
+            hall.pace(&grant.endpoint, self.last.saturating_sub(since) as f64 / tokens as f64);
+        }
+        !self.order.once && hall.moving(grant.job)
+    }
+
     /// Takes one token; sends it on when the caller wants a stream.
     fn token(&mut self, text: &str, live: bool) -> io::Result<()> {
         let now = self.entry.now();
@@ -379,6 +407,7 @@
 
 enum Heard {
     End(End),
+    Moved,
     Draining,
     CallerGone,
 }
--- a/src/entry/hall.rs
+++ b/src/entry/hall.rs
@@ -62,6 +62,16 @@
         body(&lock(&self.inner).pool)
     }
 
+    /// Tells the pool a stream's pace.
+    pub fn pace(&self, endpoint: &str, gap: f64) {
+        lock(&self.inner).pool.pace(endpoint, gap);
+    }
+
+    /// True when a running stream should go on at another endpoint.
+    pub fn moving(&self, job: JobId) -> bool {
+        self.read(|pool| pool.moving(job))
+    }
+
     /// Time passed.
     pub fn tick(&self, now: Millis) {
         let mut inner = lock(&self.inner);
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -1,4 +1,7 @@
-//! Clients: the demo's steps and the load tool.
+//! Clients and experiments: the demo's steps, the load tool, and the model.
 
 pub mod client;
 pub mod demo;
+pub mod model;
+pub mod scenario;
+pub mod tally;
--- /dev/null
+++ b/src/load/scenario.rs
@@ -0,0 +1,224 @@
+//! A scenario of load and faults, read from an INI file.
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::config::ini::{self, Section, Span};
+use crate::config::{Findings, Fleet};
+
+/// Arrivals of one class from one workspace. Times are in milliseconds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Stream {
+    /// Class.
+    pub class: String,
+    /// Workspace.
+    pub workspace: String,
+    /// Requests a second.
+    pub rate: f64,
+    /// Mean number of tokens; lengths are spread widely around it.
+    pub tokens: f64,
+    /// Words of the prompt.
+    pub words: u64,
+    /// Distinct prompt starts.
+    pub prefixes: u64,
+    /// Start of a burst.
+    pub burst_from: u64,
+    /// End of a burst.
+    pub burst_to: u64,
+    /// Ratio by which the rate rises in the burst.
+    pub burst: f64,
+}
+
+/// A fault of one engine. Times are in milliseconds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Trouble {
+    /// Engine by its index from 0.
+    pub engine: usize,
+    /// When it begins.
+    pub at: u64,
+    /// When it ends.
+    pub until: u64,
+    /// Ratio by which its steps slow down; 0 for a crash.
+    pub slow: u64,
+}
+
+/// A whole scenario. Times are in milliseconds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Scenario {
+    /// Seed of all draws.
+    pub seed: u64,
+    /// How long requests come in.
+    pub length: u64,
+    /// Entry instances.
+    pub instances: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Slots of one engine.
+    pub slots: u32,
+    /// Step of a batch.
+    pub step: u64,
+    /// Prefill of one prompt word, in microseconds.
+    pub prefill: u64,
+    /// Interval of words between instances.
+    pub gossip: u64,
+    /// Delay of load reports.
+    pub lag: u64,
+    /// Part of all callers that come to the first instance; the rest is spread evenly.
+    pub skew: f64,
+    /// From when instances don't hear each other; 0 for never.
+    pub cut_from: u64,
+    /// Until when they don't.
+    pub cut_to: u64,
+    /// Arrivals.
+    pub streams: Vec<Stream>,
+    /// Faults.
+    pub troubles: Vec<Trouble>,
+}
+
+/// One request of a scenario.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Arrival {
+    /// When it comes.
+    pub at: u64,
+    /// Instance that it comes to.
+    pub instance: usize,
+    /// Index of its stream.
+    pub stream: usize,
+    /// Tokens that it asks for.
+    pub tokens: u64,
+    /// Which prompt start it has.
+    pub prefix: u64,
+}
+
+impl Scenario {
+    /// Reads a scenario; its classes and workspaces must stand in `fleet`.
+    pub fn parse(file: &str, text: &str, fleet: &Fleet) -> Result<Self, Findings> {
+        let mut out = Findings::new(file);
+        let sections = ini::parse(text, &mut out);
+        let mut scenario = Self {
+            seed: 1,
+            length: 60_000,
+            instances: 9,
+            engines: 12,
+            slots: 8,
+            step: 20,
+            prefill: 500,
+            gossip: 250,
+            lag: 1_000,
+            skew: 0.0,
+            cut_from: 0,
+            cut_to: 0,
+            streams: Vec::new(),
+            troubles: Vec::new(),
+        };
+        for s in &sections {
+            match s.kind.as_str() {
+                "scenario" => scenario.globals(s, &mut out),
+                "stream" => {
+                    let stream = stream(s, fleet, &mut out);
+                    scenario.streams.push(stream);
+                }
+                "trouble" => {
+                    let trouble = trouble(s, &mut out);
+                    scenario.troubles.push(trouble);
+                }
+                _ => out.add(s.line, &s.title(), "unknown section"),
+            }
+            s.rest(&mut out);
+        }
+        if scenario.streams.is_empty() {
+            out.add(0, "stream", "there are no arrivals");
+        }
+        if let Some(t) = scenario.troubles.iter().find(|t| t.engine >= scenario.engines) {
+            out.add(0, "trouble", format!("there is no engine {}", t.engine));
+        }
+        out.finish(scenario)
+    }
+
+    fn globals(&mut self, s: &Section, out: &mut Findings) {
+        let span =
+            |key: &str, or: u64, out: &mut Findings| s.read::<Span>(key, out).map_or(or, |v| v.0);
+        self.seed = s.read("seed", out).unwrap_or(self.seed);
+        self.length = span("length", self.length, out);
+        self.instances = s.read("instances", out).unwrap_or(self.instances);
+        self.engines = s.read("engines", out).unwrap_or(self.engines);
+        self.slots = s.read("slots", out).unwrap_or(self.slots);
+        self.step = span("step", self.step, out);
+        self.prefill = s.read("prefill_us", out).unwrap_or(self.prefill);
+        self.gossip = span("gossip", self.gossip, out);
+        self.lag = span("lag", self.lag, out);
+        self.skew = s.read("skew", out).unwrap_or(self.skew);
+        self.cut_from = span("cut_from", 0, out);
+        self.cut_to = span("cut_to", 0, out);
+        if self.instances == 0 || self.engines == 0 || self.slots == 0 || self.step == 0 {
+            out.add(s.line, &s.title(), "instances, engines, slots and step must be above 0");
+        }
+    }
+
+    /// All arrivals in order of time; the same for the same seed.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        let mut all = Vec::new();
+        for (i, stream) in self.streams.iter().enumerate() {
+            let mut rng = ChaCha8Rng::seed_from_u64(self.seed.wrapping_add(i as u64));
+            let mut at = 0.0;
+            loop {
+                let inside = (stream.burst_from..stream.burst_to).contains(&(at as u64));
+                let rate = if inside { stream.rate * stream.burst } else { stream.rate };
+                at += -(1.0 - rng.random::<f64>()).ln() / rate * 1e3;
+                if at >= self.length as f64 {
+                    break;
+                }
+                all.push(self.arrival(at as u64, i, stream, &mut rng));
+            }
+        }
+        all.sort_by_key(|a| a.at);
+        all
+    }
+
+    fn arrival(&self, at: u64, i: usize, stream: &Stream, rng: &mut ChaCha8Rng) -> Arrival {
+        let first = rng.random::<f64>() < self.skew;
+        let instance = if first { 0 } else { rng.random_range(0..self.instances) };
+        // Exponential lengths: most are short and some very long, as with real answers.
+        let drawn = -(1.0 - rng.random::<f64>()).ln() * stream.tokens;
+        let prefix = rng.random_range(0..stream.prefixes.max(1));
+        Arrival { at, instance, stream: i, tokens: (drawn as u64).max(1), prefix }
+    }
+}
+
+fn stream(s: &Section, fleet: &Fleet, out: &mut Findings) -> Stream {
+    let span = |key: &str, out: &mut Findings| s.read::<Span>(key, out).map_or(0, |v| v.0);
+    let class = s.need("class", out);
+    if !class.is_empty() && !fleet.classes.contains_key(&class) {
+        out.add(s.line_of("class"), "class", format!("no class is called `{class}`"));
+    }
+    let workspace = s.need("workspace", out);
+    if !workspace.is_empty() && !fleet.workspaces.contains_key(&workspace) {
+        let text = format!("no workspace is called `{workspace}`");
+        out.add(s.line_of("workspace"), "workspace", text);
+    }
+    let rate = s.read("rate", out).unwrap_or(1.0);
+    if rate <= 0.0 {
+        out.add(s.line_of("rate"), "rate", "must be above 0");
+    }
+    Stream {
+        class,
+        workspace,
+        rate,
+        tokens: s.read("tokens", out).unwrap_or(50.0),
+        words: s.read("words", out).unwrap_or(100),
+        prefixes: s.read("prefixes", out).unwrap_or(20),
+        burst_from: span("burst_from", out),
+        burst_to: span("burst_to", out),
+        burst: s.read("burst", out).unwrap_or(1.0),
+    }
+}
+
+fn trouble(s: &Section, out: &mut Findings) -> Trouble {
+    let span = |key: &str, out: &mut Findings| s.read::<Span>(key, out).map_or(0, |v| v.0);
+    Trouble {
+        engine: s.read("engine", out).unwrap_or(0),
+        at: span("at", out),
+        until: span("until", out),
+        slow: s.read("slow", out).unwrap_or(0),
+    }
+}
--- a/src/mechanism.rs
+++ b/src/mechanism.rs
@@ -42,6 +42,8 @@
     Budget,
     /// Failing and slow endpoints are ejected.
     Eject,
+    /// Streams on a straggler go on elsewhere.
+    Moves,
     /// A burst displaces its own requests first.
     Displace,
     /// The configuration is taken from peers.
--- a/src/policy/endpoint.rs
+++ b/src/policy/endpoint.rs
@@ -82,6 +82,8 @@
     samples: u32,
     faults: u32,
     ejections: u32,
+    /// End of the last ejection.
+    ejected: Millis,
 }
 
 impl Endpoint {
@@ -102,6 +104,7 @@
             samples: 0,
             faults: 0,
             ejections: 0,
+            ejected: 0,
         }
     }
 
@@ -174,25 +177,23 @@
         self.report = Some((now, report));
     }
 
-    /// A request went well; `gap` is its average token gap in milliseconds, if it had one.
-    /// Returns true when that ended an ejection.
-    pub fn good(&mut self, gap: Option<f64>) -> bool {
+    /// A request went well. Returns true when that ended an ejection.
+    pub fn good(&mut self) -> bool {
         self.faults = 0;
-        if let Some(gap) = gap {
-            if self.samples == 0 {
-                self.gap = gap;
-            }
-            blend(&mut self.gap, gap);
-            self.samples = self.samples.saturating_add(1);
-        }
         let back = self.health != Health::Up;
-        if back {
-            self.health = Health::Up;
-            self.ejections = 0;
-        }
+        self.health = Health::Up;
         back
     }
 
+    /// Takes in the average gap of a few tokens, in milliseconds.
+    pub fn pace(&mut self, gap: f64) {
+        if self.samples == 0 {
+            self.gap = gap;
+        }
+        blend(&mut self.gap, gap);
+        self.samples = self.samples.saturating_add(1);
+    }
+
     /// A request failed. Returns true when the endpoint should be ejected.
     pub fn bad(&mut self) -> bool {
         self.faults += 1;
@@ -205,11 +206,15 @@
         self.ejections += 1;
         self.faults = 0;
         self.samples = 0;
+        self.ejected = now + wait;
         self.health = Health::Ejected { until: now + wait, cause };
     }
 
-    /// Lets it be probed once its ejection is over.
+    /// Lets it be probed once its ejection is over; forgets ejections after a good while.
     pub fn tick(&mut self, now: Millis) {
+        if self.health == Health::Up && now > self.ejected + EJECT_MAX {
+            self.ejections = 0;
+        }
         if let Health::Ejected { until, .. } = self.health
             && now >= until
         {
--- a/src/policy/pool.rs
+++ b/src/policy/pool.rs
@@ -27,6 +27,8 @@
 const DRAWS: usize = 3;
 /// Largest part of a service that may be ejected at a time.
 const EJECT_PART: usize = 3;
+/// Endpoints whose speed must be known before one can be a straggler.
+const SPEED_PEERS: usize = 3;
 /// Lowest number that engines take as a priority; lower runs first.
 pub const TOP_PRIORITY: u8 = 0;
 
@@ -40,6 +42,8 @@
         pub endpoints: IndexMap<String, u32>,
         /// Running requests by workspace, where a limit holds.
         pub workspaces: IndexMap<String, u32>,
+        /// Token gaps by endpoint, in milliseconds.
+        pub paces: IndexMap<String, f64>,
     }
 }
 
@@ -120,6 +124,8 @@
     job: Job,
     endpoint: String,
     since: Millis,
+    /// True once it should go on at another endpoint.
+    moving: bool,
 }
 
 /// State and decisions of one service on one instance.
@@ -266,6 +272,9 @@
         for e in self.endpoints.values().filter(|e| e.running() > 0) {
             load.endpoints.insert(e.name.clone(), e.running());
         }
+        for e in self.endpoints.values() {
+            load.paces.extend(e.speed().map(|gap| (e.name.clone(), gap)));
+        }
         for workspace in self.limits.keys() {
             let n = self.running_for(workspace);
             if n > 0 {
@@ -321,7 +330,7 @@
         if hopeless && now as f64 + self.expected_wait(now, &job) > job.deadline as f64 {
             return Arrival::Refused(Refusal::TooLate);
         }
-        let bound = if first { params.queue } else { u32::MAX };
+        let bound = if first { self.bound(now, &job.class, params.queue) } else { u32::MAX };
         match self.queue.enter(job, bound) {
             Entered::Waiting => Arrival::Queued,
             Entered::Displaced(gone) => Arrival::Displaced(gone.id),
@@ -333,6 +342,14 @@
         }
     }
 
+    /// Own part of a class's queue bound: what the others leave, at least an equal part.
+    fn bound(&self, now: Millis, class: &str, queue: u32) -> u32 {
+        let part = queue / (self.peers.len() as u32 + 1);
+        let waiting = |p: &Peer| p.load.classes.get(class).map_or(0, |(_, wait)| *wait);
+        let others = self.heard(now).map(waiting).sum::<u32>() + part * self.silent(now) as u32;
+        queue.saturating_sub(others).max(part).max(1)
+    }
+
     /// Expected time in milliseconds until a slot is free for one more job of its class.
     fn expected_wait(&self, now: Millis, job: &Job) -> f64 {
         let ahead = f64::from(self.queue.len(&job.class));
@@ -368,6 +385,7 @@
             self.lengths.learn(&run.job.class, &run.job.workspace, ms);
         }
         let ejectable = self.ejectable();
+        let limit = self.slow_limit(now).unwrap_or(f64::MAX);
         let Some(e) = self.endpoints.get_mut(&run.endpoint) else {
             return;
         };
@@ -375,7 +393,10 @@
         let endpoint = run.endpoint;
         match outcome {
             Outcome::Good { gap } => {
-                if e.good(gap) {
+                let slow = gap.is_some_and(|g| g > limit) && ejectable;
+                if slow && matches!(e.health, Health::Probing { .. }) {
+                    e.eject(now, Cause::Slow);
+                } else if e.good() {
                     self.notices.push(Notice::Restored { endpoint });
                 }
             }
@@ -407,6 +428,31 @@
         self.endpoints.values().filter(out).count() < self.endpoints.len().div_ceil(EJECT_PART)
     }
 
+    /// A stream from the endpoint has this token gap of late, in milliseconds.
+    pub fn pace(&mut self, endpoint: &str, gap: f64) {
+        if let Some(e) = self.endpoints.get_mut(endpoint) {
+            e.pace(gap);
+        }
+    }
+
+    /// Average token gap of an endpoint, by own and peers' streams.
+    fn speed(&self, now: Millis, e: &Endpoint) -> Option<f64> {
+        let peers = self.heard(now).filter_map(|p| p.load.paces.get(&e.name).copied());
+        let all: Vec<f64> = e.speed().into_iter().chain(peers).collect();
+        (!all.is_empty()).then(|| all.iter().sum::<f64>() / all.len() as f64)
+    }
+
+    /// Token gap from which an endpoint is a straggler; `None` while too few are known.
+    fn slow_limit(&self, now: Millis) -> Option<f64> {
+        let mut speeds: Vec<f64> =
+            self.endpoints.values().filter_map(|e| self.speed(now, e)).collect();
+        if speeds.len() < SPEED_PEERS {
+            return None;
+        }
+        speeds.sort_by(f64::total_cmp);
+        Some(SLOW_RATIO * speeds[speeds.len() / 2])
+    }
+
     /// Time passed: probes and stragglers. Call a few times a second.
     pub fn tick(&mut self, now: Millis) {
         for e in self.endpoints.values_mut() {
@@ -415,20 +461,48 @@
         if self.strategy != Strategy::Ours || !self.ejectable() {
             return;
         }
-        let mut speeds: Vec<f64> = self.endpoints.values().filter_map(Endpoint::speed).collect();
-        if speeds.len() < 3 {
+        let Some(limit) = self.slow_limit(now) else { return };
+        let slow =
+            |e: &&Endpoint| e.health == Health::Up && self.speed(now, e).is_some_and(|s| s > limit);
+        let Some(endpoint) = self.endpoints.values().find(slow).map(|e| e.name.clone()) else {
             return;
-        }
-        speeds.sort_by(f64::total_cmp);
-        let median = speeds[speeds.len() / 2];
-        let slow = |e: &&mut Endpoint| {
-            e.health == Health::Up && e.speed().is_some_and(|s| s > SLOW_RATIO * median)
         };
-        if let Some(e) = self.endpoints.values_mut().find(slow) {
-            e.eject(now, Cause::Slow);
-            let endpoint = e.name.clone();
-            self.notices.push(Notice::Ejected { endpoint, cause: "slow" });
+        self.endpoints[&endpoint].eject(now, Cause::Slow);
+        self.move_off(now, &endpoint);
+        self.notices.push(Notice::Ejected { endpoint, cause: "slow" });
+    }
+
+    /// Marks streams on an endpoint to go on elsewhere, the most urgent first, as far as there
+    /// are free slots.
+    fn move_off(&mut self, now: Millis, endpoint: &str) {
+        if !mechanism::on(Mechanism::Moves) {
+            return;
         }
+        let others = |e: &&Endpoint| e.open() && e.name != endpoint;
+        let free =
+            |e: &Endpoint| e.slots.saturating_sub(e.load(self.peer_work(now, &e.name), true));
+        let room: u32 = self.endpoints.values().filter(others).map(free).sum();
+        let room = room as usize / (self.peers.len() + 1);
+        let tier = |r: &Running| self.rules.get(&r.job.class).map_or(0, |rule| rule.tier);
+        let mut ids: Vec<(u8, JobId)> = self
+            .running
+            .iter()
+            .filter(|(_, r)| r.endpoint == endpoint)
+            .map(|(id, r)| (tier(r), *id))
+            .collect();
+        ids.sort_unstable();
+        for (_, id) in ids.into_iter().take(room) {
+            self.running[&id].moving = true;
+        }
+    }
+
+    /// True when a running stream should go on at another endpoint.
+    pub fn moving(&self, job: JobId) -> bool {
+        self.running.get(&job).is_some_and(|r| r.moving)
+    }
+
+    fn peer_work(&self, now: Millis, endpoint: &str) -> u32 {
+        self.heard(now).map(|p| p.load.endpoints.get(endpoint).copied().unwrap_or(0)).sum()
     }
 
     /// Own part of the service's slots. Every silent peer keeps an equal part for itself.
@@ -594,7 +668,8 @@
             *peers.entry(name).or_default() += n;
         }
         let all_silent = self.endpoints.values().all(|e| e.silent(now));
-        let gaps: Vec<f64> = self.endpoints.values().filter_map(Endpoint::speed).collect();
+        let speed = |e: &Endpoint| self.speed(now, e);
+        let gaps: Vec<f64> = self.endpoints.values().filter_map(speed).collect();
         let pace = gaps.iter().sum::<f64>() / gaps.len().max(1) as f64;
         let fits = |e: &&Endpoint| {
             e.open()
@@ -608,7 +683,7 @@
                 continue;
             }
             let filled = f64::from(load + 1) / f64::from(e.slots);
-            let slow = e.speed().filter(|_| pace > 0.0).map_or(1.0, |s| (s / pace).max(1.0));
+            let slow = speed(e).filter(|_| pace > 0.0).map_or(1.0, |s| (s / pace).max(1.0));
             let away = if e.domain == self.domain { 0.0 } else { DOMAIN_COST };
             let beside = 0.5 * f64::from(e.suspects);
             open.push(Candidate {
@@ -645,7 +720,8 @@
             priority,
             weighed,
         };
-        self.running.insert(id, Running { job, endpoint: endpoint.to_owned(), since: now });
+        self.running
+            .insert(id, Running { job, endpoint: endpoint.to_owned(), since: now, moving: false });
         Step::Grant(grant)
     }
 }
--- a/src/policy/share.rs
+++ b/src/policy/share.rs
@@ -134,21 +134,25 @@
     left
 }
 
-/// Max-min division of `units` over `wants`; `turn` picks who comes first.
+/// Divides `units` over `wants` in proportion, so that all queues of a class drain alike and
+/// no one gets more than it wants. The largest remainders get the units that are left; `turn`
+/// rotates who comes first among equals.
 pub fn spread(units: u32, wants: &[u32], turn: u64) -> Vec<u32> {
-    let mut out = vec![0; wants.len()];
-    let mut left = units;
-    let first = (turn % wants.len().max(1) as u64) as usize;
-    let mut open: Vec<usize> = (0..wants.len()).map(|i| (i + first) % wants.len()).collect();
-    open.retain(|i| wants[*i] > 0);
-    while left > 0 && !open.is_empty() {
-        let part = (left / open.len() as u32).max(1);
-        for i in &open {
-            let n = part.min(wants[*i] - out[*i]).min(left);
-            out[*i] += n;
-            left -= n;
-        }
-        open.retain(|i| out[*i] < wants[*i]);
+    let total: u64 = wants.iter().map(|w| u64::from(*w)).sum();
+    if total <= u64::from(units) {
+        return wants.to_vec();
+    }
+    let exact = |w: u32| u64::from(units) * u64::from(w);
+    let mut out: Vec<u32> = wants.iter().map(|w| (exact(*w) / total) as u32).collect();
+    let left = units - out.iter().sum::<u32>();
+    let n = wants.len() as u64;
+    let mut order: Vec<usize> = (0..wants.len()).filter(|i| out[*i] < wants[*i]).collect();
+    order.sort_by_key(|i| {
+        let turned = (*i as u64 + n - turn % n) % n;
+        (std::cmp::Reverse(exact(wants[*i]) % total), turned)
+    });
+    for i in order.into_iter().take(left as usize) {
+        out[i] += 1;
     }
     out
 }
