--- a/src/policy/pool.rs
+++ b/src/policy/pool.rs
@@ -17,6 +17,8 @@
 
 /// Age in milliseconds from which a peer's word is silent.
 pub const PEER_MAX_AGE: u64 = 2_000;
+/// Age in milliseconds up to which a silent peer's demand is taken to be as it last said.
+const WORD_MEMORY: u64 = 60_000;
 /// Cost of leaving the own failure domain, in loads.
 const DOMAIN_COST: f64 = 0.08;
 /// What a likely cached prefix is worth, in loads.
@@ -255,6 +257,17 @@
         self.peers.values().flatten().filter(fresh)
     }
 
+    /// Peers whose last word is not too old to count.
+    fn remembered(&self, now: Millis) -> impl Iterator<Item = (u64, &Peer)> {
+        let fresh = move |p: &&Peer| now.saturating_sub(p.at) <= WORD_MEMORY;
+        self.peers.iter().filter_map(move |(id, p)| p.as_ref().filter(fresh).map(|p| (*id, p)))
+    }
+
+    /// Number of peers of whom nothing is known.
+    fn unknown(&self, now: Millis) -> u32 {
+        (self.peers.len() - self.remembered(now).count()) as u32
+    }
+
     /// Number of peers that are silent.
     pub fn silent(&self, now: Millis) -> usize {
         self.peers.len() - self.heard(now).count()
@@ -346,7 +359,8 @@
     fn bound(&self, now: Millis, class: &str, queue: u32) -> u32 {
         let part = queue / (self.peers.len() as u32 + 1);
         let waiting = |p: &Peer| p.load.classes.get(class).map_or(0, |(_, wait)| *wait);
-        let others = self.heard(now).map(waiting).sum::<u32>() + part * self.silent(now) as u32;
+        let known: u32 = self.remembered(now).map(|(_, p)| waiting(p)).sum();
+        let others = known + part * self.unknown(now);
         queue.saturating_sub(others).max(part).max(1)
     }
 
@@ -505,20 +519,18 @@
         self.heard(now).map(|p| p.load.endpoints.get(endpoint).copied().unwrap_or(0)).sum()
     }
 
-    /// Own part of the service's slots. Every silent peer keeps an equal part for itself.
+    /// Own part of the service's slots. A silent peer's demand counts as it last was; after a
+    /// while, or if it was never heard, an equal part is kept for it.
     pub fn quota(&self, now: Millis) -> Quota {
         let all = self.slots();
         if !mechanism::on(Mechanism::Shares) {
             return Quota { spare: all, ..Quota::default() };
         }
-        let reserve = all * self.silent(now) as u32 / (self.peers.len() as u32 + 1);
+        let reserve = all * self.unknown(now) / (self.peers.len() as u32 + 1);
         let mut demand: Vec<(u64, Demand)> = vec![(self.me, self.demand())];
-        for (id, peer) in &self.peers {
-            let Some(p) = peer.as_ref().filter(|p| now.saturating_sub(p.at) <= PEER_MAX_AGE) else {
-                continue;
-            };
-            let sums = p.load.classes.iter().map(|(c, (run, wait))| (c.clone(), run + wait));
-            demand.push((*id, sums.collect()));
+        for (id, peer) in self.remembered(now) {
+            let sums = peer.load.classes.iter().map(|(c, (run, wait))| (c.clone(), run + wait));
+            demand.push((id, sums.collect()));
         }
         demand.sort_by_key(|(id, _)| *id);
         let row = demand.iter().position(|(id, _)| *id == self.me).unwrap_or(0);
