Leave stragglers sooner and probe them once, not once for each instance

Each of nine instances learned of it from its own whole answers and then probed it by itself with whatever came next. Change: the pace counts every five tokens; a slow probe is ended by its own pace and goes on elsewhere; peers see who is slow or being probed and hold back; patient requests probe first.

--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -32,7 +32,7 @@
 const JSON: (&str, &str) = ("content-type", "application/json");
 
 /// Tokens over which a stream's pace is taken.
-const PACE_TOKENS: u64 = 10;
+const PACE_TOKENS: u64 = 5;
 
 /// What a caller asks for.
 struct Ask {
@@ -298,7 +298,8 @@
         let Some(hall) = self.entry.hall(&self.order.service) else { return false };
         // The first tokens wait for the prefill and say nothing of the pace.
         if since > 0 {
-            hall.pace(&grant.endpoint, self.last.saturating_sub(since) as f64 / tokens as f64);
+            let gap = self.last.saturating_sub(since) as f64 / tokens as f64;
+            hall.pace(self.last, &grant.endpoint, gap);
         }
         !self.order.once && hall.moving(grant.job)
     }
--- a/src/entry/hall.rs
+++ b/src/entry/hall.rs
@@ -63,8 +63,8 @@
     }
 
     /// Tells the pool a stream's pace.
-    pub fn pace(&self, endpoint: &str, gap: f64) {
-        lock(&self.inner).pool.pace(endpoint, gap);
+    pub fn pace(&self, now: Millis, endpoint: &str, gap: f64) {
+        lock(&self.inner).pool.pace(now, endpoint, gap);
     }
 
     /// True when a running stream should go on at another endpoint.
--- a/src/load/model.rs
+++ b/src/load/model.rs
@@ -21,7 +21,7 @@
 /// Interval of slow decisions, in milliseconds.
 const SLOW_TICK: u64 = 200;
 /// Tokens over which a stream's pace is taken.
-const PACE_TOKENS: u64 = 10;
+const PACE_TOKENS: u64 = 5;
 /// Prefixes that fit into an engine's cache.
 const CACHE: usize = 64;
 /// Part of the prefill that a cached prefix still costs, as a divisor.
@@ -82,7 +82,6 @@
     engines: Vec<Engine>,
     requests: Vec<Request>,
     jobs: IndexMap<JobId, usize>,
-    words: VecDeque<(u64, usize, Load)>,
     tally: Tally,
     next_job: JobId,
 }
@@ -124,7 +123,6 @@
             engines: engines.collect(),
             requests: Vec::new(),
             jobs: IndexMap::new(),
-            words: VecDeque::new(),
             tally: Tally::default(),
             next_job: 1,
         }
@@ -385,7 +383,7 @@
                 self.whole(now, job);
             }
             for (instance, job, gap) in paces {
-                self.pools[instance].pace(&name_of(i), gap);
+                self.pools[instance].pace(now, &name_of(i), gap);
                 if self.pools[instance].moving(job) {
                     self.engines[i].running.retain(|r| r.job != job);
                     self.moved(now, job, &name_of(i));
--- a/src/policy/endpoint.rs
+++ b/src/policy/endpoint.rs
@@ -50,8 +50,8 @@
     Up,
     /// Takes no work until the time given.
     Ejected { until: Millis, cause: Cause },
-    /// Takes one request to find out.
-    Probing { busy: bool },
+    /// Takes one request to find out, since the time given.
+    Probing { busy: bool, since: Millis },
 }
 
 /// One endpoint of a service.
@@ -115,7 +115,7 @@
 
     /// True when new work may go to it.
     pub fn open(&self) -> bool {
-        let healthy = matches!(self.health, Health::Up | Health::Probing { busy: false });
+        let healthy = matches!(self.health, Health::Up | Health::Probing { busy: false, .. });
         healthy && !self.leaving
     }
 
@@ -149,7 +149,7 @@
         *self.own.entry(class.to_owned()).or_default() += 1;
         self.fresh += 1;
         self.suspects += u32::from(suspect);
-        if let Health::Probing { busy } = &mut self.health {
+        if let Health::Probing { busy, .. } = &mut self.health {
             *busy = true;
         }
     }
@@ -210,6 +210,14 @@
         self.health = Health::Ejected { until: now + wait, cause };
     }
 
+    /// Makes the present ejection longer by a ratio, so that instances don't probe together.
+    pub fn prolong(&mut self, now: Millis, ratio: f64) {
+        if let Health::Ejected { until, .. } = &mut self.health {
+            *until = now + (until.saturating_sub(now) as f64 * ratio) as u64;
+            self.ejected = *until;
+        }
+    }
+
     /// Lets it be probed once its ejection is over; forgets ejections after a good while.
     pub fn tick(&mut self, now: Millis) {
         if self.health == Health::Up && now > self.ejected + EJECT_MAX {
@@ -218,13 +226,13 @@
         if let Health::Ejected { until, .. } = self.health
             && now >= until
         {
-            self.health = Health::Probing { busy: false };
+            self.health = Health::Probing { busy: false, since: now };
         }
     }
 
     /// A probe ended without a verdict, such as a caller's hang-up.
     pub fn unproven(&mut self) {
-        if let Health::Probing { busy } = &mut self.health {
+        if let Health::Probing { busy, .. } = &mut self.health {
             *busy = false;
         }
     }
--- a/src/policy/pool.rs
+++ b/src/policy/pool.rs
@@ -29,6 +29,8 @@
 const DRAWS: usize = 3;
 /// Largest part of a service that may be ejected at a time.
 const EJECT_PART: usize = 3;
+/// Time that an endpoint waits for a patient request to be probed with, in milliseconds.
+const PROBE_PATIENCE: u64 = 5_000;
 /// Endpoints whose speed must be known before one can be a straggler.
 const SPEED_PEERS: usize = 3;
 /// Lowest number that engines take as a priority; lower runs first.
@@ -46,6 +48,18 @@
         pub workspaces: IndexMap<String, u32>,
         /// Token gaps by endpoint, in milliseconds.
         pub paces: IndexMap<String, f64>,
+        /// Endpoints out of use for their speed.
+        pub slow: IndexMap<String, Out>,
+    }
+}
+
+closed! {
+    /// State of an endpoint that is out of use.
+    pub enum Out {
+        /// Ejected until this time.
+        Until(Millis),
+        /// One request finds out.
+        Probing,
     }
 }
 
@@ -288,6 +302,14 @@
         for e in self.endpoints.values() {
             load.paces.extend(e.speed().map(|gap| (e.name.clone(), gap)));
         }
+        for e in self.endpoints.values() {
+            let out = match e.health {
+                Health::Ejected { until, cause: Cause::Slow } => Out::Until(until),
+                Health::Probing { busy: true, .. } => Out::Probing,
+                _ => continue,
+            };
+            load.slow.insert(e.name.clone(), out);
+        }
         for workspace in self.limits.keys() {
             let n = self.running_for(workspace);
             if n > 0 {
@@ -409,7 +431,7 @@
             Outcome::Good { gap } => {
                 let slow = gap.is_some_and(|g| g > limit) && ejectable;
                 if slow && matches!(e.health, Health::Probing { .. }) {
-                    e.eject(now, Cause::Slow);
+                    self.slow(now, &endpoint);
                 } else if e.good() {
                     self.notices.push(Notice::Restored { endpoint });
                 }
@@ -443,10 +465,34 @@
     }
 
     /// A stream from the endpoint has this token gap of late, in milliseconds.
-    pub fn pace(&mut self, endpoint: &str, gap: f64) {
+    pub fn pace(&mut self, now: Millis, endpoint: &str, gap: f64) {
+        let limit = self.slow_limit(now).unwrap_or(f64::MAX);
+        let Some(e) = self.endpoints.get_mut(endpoint) else { return };
+        e.pace(gap);
+        if gap > limit && matches!(e.health, Health::Probing { .. }) {
+            self.slow(now, endpoint);
+        }
+    }
+
+    /// Takes a straggler out of use.
+    fn slow(&mut self, now: Millis, endpoint: &str) {
+        let jitter = 1.0 + self.rng.random::<f64>();
         if let Some(e) = self.endpoints.get_mut(endpoint) {
-            e.pace(gap);
+            e.eject(now, Cause::Slow);
+            e.prolong(now, jitter);
         }
+        self.move_off(now, endpoint);
+        let endpoint = endpoint.to_owned();
+        self.notices.push(Notice::Ejected { endpoint, cause: "slow" });
+    }
+
+    /// True when a peer knows the endpoint to be slow still, or is finding out.
+    fn held_off(&self, now: Millis, endpoint: &str) -> bool {
+        self.heard(now).any(|p| match p.load.slow.get(endpoint) {
+            Some(Out::Probing) => true,
+            Some(Out::Until(until)) => *until > now,
+            None => false,
+        })
     }
 
     /// Average token gap of an endpoint, by own and peers' streams.
@@ -469,8 +515,12 @@
 
     /// Time passed: probes and stragglers. Call a few times a second.
     pub fn tick(&mut self, now: Millis) {
-        for e in self.endpoints.values_mut() {
-            e.tick(now);
+        let held: Vec<bool> = self.endpoints.keys().map(|name| self.held_off(now, name)).collect();
+        for (e, held) in self.endpoints.values_mut().zip(held) {
+            let slow = matches!(e.health, Health::Ejected { cause: Cause::Slow, .. });
+            if !(slow && held) {
+                e.tick(now);
+            }
         }
         if self.strategy != Strategy::Ours || !self.ejectable() {
             return;
@@ -478,12 +528,9 @@
         let Some(limit) = self.slow_limit(now) else { return };
         let slow =
             |e: &&Endpoint| e.health == Health::Up && self.speed(now, e).is_some_and(|s| s > limit);
-        let Some(endpoint) = self.endpoints.values().find(slow).map(|e| e.name.clone()) else {
-            return;
-        };
-        self.endpoints[&endpoint].eject(now, Cause::Slow);
-        self.move_off(now, &endpoint);
-        self.notices.push(Notice::Ejected { endpoint, cause: "slow" });
+        if let Some(endpoint) = self.endpoints.values().find(slow).map(|e| e.name.clone()) {
+            self.slow(now, &endpoint);
+        }
     }
 
     /// Marks streams on an endpoint to go on elsewhere, the most urgent first, as far as there
@@ -683,8 +730,15 @@
         let speed = |e: &Endpoint| self.speed(now, e);
         let gaps: Vec<f64> = self.endpoints.values().filter_map(speed).collect();
         let pace = gaps.iter().sum::<f64>() / gaps.len().max(1) as f64;
+        let tier = self.rules.get(&job.class).map_or(0, |r| r.tier);
+        let patient = self.rules.values().all(|r| r.tier <= tier);
         let fits = |e: &&Endpoint| {
-            e.open()
+            let probes = match e.health {
+                Health::Probing { since, .. } => patient || now > since + PROBE_PATIENCE,
+                _ => true,
+            };
+            probes
+                && e.open()
                 && (all_silent || !e.silent(now))
                 && !(job.suspect && e.suspects > 0 && mechanism::on(Mechanism::Isolation))
         };
--- /dev/null
+++ b/tests/policy.rs
@@ -0,0 +1,354 @@
+//! Decisions without I/O: shares, queues, ejection, budgets, suspects, progress.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use indexmap::IndexMap;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use sassafrasworks::config::{Fleet, Strategy as Policy};
+use sassafrasworks::load::model::{Model, Setup};
+use sassafrasworks::load::scenario::Scenario;
+use sassafrasworks::policy::budget::Budget;
+use sassafrasworks::policy::claim::{Claim, Op, Seat, Table};
+use sassafrasworks::policy::endpoint::{Health, Report};
+use sassafrasworks::policy::pool::{Arrival, Grant, Load, Outcome, Pool, Step};
+use sassafrasworks::policy::share::{Demand, Rule, divide};
+use sassafrasworks::policy::suspect::{Standing, Suspects};
+use sassafrasworks::policy::{Job, Refusal};
+use uuid::Uuid;
+
+fn config() -> Config {
+    Config {
+        cases: common::env("SASSAFRAS_CASES", 300) as u32,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn fleet() -> Fleet {
+    Fleet::parse("fleet.ini", &common::document(0, "ines", "")).unwrap()
+}
+
+fn pool(endpoints: usize, mates: u64) -> Pool {
+    let mut pool = Pool::new(0, "recife", Policy::Ours, 7);
+    pool.configure(&fleet().classes, IndexMap::new());
+    let row = |i| (format!("engine-{i}"), String::new(), "recife".to_owned(), false);
+    pool.members(&(0..endpoints).map(row).collect::<Vec<_>>(), 4);
+    pool.mates(&(0..mates).collect::<Vec<_>>());
+    pool
+}
+
+fn job(id: u64, class: &str, now: u64) -> Job {
+    Job {
+        id,
+        class: class.to_owned(),
+        workspace: "recife".to_owned(),
+        arrived: now,
+        target: now + 1_000,
+        deadline: now + 60_000,
+        prefix: 0,
+        suspect: false,
+        avoid: Vec::new(),
+        resumed: false,
+    }
+}
+
+fn grants(pool: &mut Pool, now: u64) -> Vec<Grant> {
+    let mut list = Vec::new();
+    loop {
+        match pool.next(now) {
+            Step::Grant(grant) => list.push(grant),
+            Step::Refuse(..) => {}
+            Step::Wait => return list,
+        }
+    }
+}
+
+const CLASSES: [&str; 4] = ["a", "b", "c", "d"];
+
+fn rules() -> impl Strategy<Value = IndexMap<String, Rule>> {
+    let rule = (0..4u8, 1..5u32, 1..20u32).prop_map(|(tier, weight, share)| Rule {
+        tier,
+        weight,
+        share: f64::from(share) / 100.0,
+    });
+    prop::collection::vec(rule, 4)
+        .prop_map(|list| CLASSES.iter().map(|c| (*c).to_owned()).zip(list).collect())
+}
+
+fn demands() -> impl Strategy<Value = Vec<Demand>> {
+    let one = prop::collection::vec(0..60u32, 4)
+        .prop_map(|list| CLASSES.iter().map(|c| (*c).to_owned()).zip(list).collect());
+    prop::collection::vec(one, 1..10)
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn division_gives_out_every_slot_once(
+        slots in 1..400u32,
+        rules in rules(),
+        demand in demands(),
+        turn in 0..100u64,
+    ) {
+        let grid = divide(slots, &rules, &demand, turn);
+        let given: u32 = grid.iter().map(|q| q.slots.values().sum::<u32>() + q.spare).sum();
+        prop_assert_eq!(given, slots);
+        for (quota, demand) in grid.iter().zip(&demand) {
+            for class in CLASSES {
+                prop_assert!(quota.slots[class] <= demand[class]);
+                prop_assert!(quota.floor[class] <= quota.slots[class] + 1);
+            }
+        }
+        let wanted: u32 = demand.iter().map(|d| d.values().sum::<u32>()).sum();
+        let used: u32 = grid.iter().map(|q| q.slots.values().sum::<u32>()).sum();
+        prop_assert_eq!(used, wanted.min(slots));
+    }
+
+    #[test]
+    fn division_keeps_every_guarantee(slots in 8..400u32, rules in rules(), demand in demands()) {
+        let grid = divide(slots, &rules, &demand, 0);
+        for (class, rule) in &rules {
+            let wants: u32 = demand.iter().map(|d| d[class]).sum();
+            let gets: u32 = grid.iter().map(|q| q.slots[class]).sum();
+            let share = (f64::from(slots) * rule.share).floor() as u32;
+            prop_assert!(gets >= share.max(1).min(wants), "{class} gets {gets} of {wants}");
+        }
+    }
+
+    /// A class loses a request only for one of its own, and no urgent one waits while a patient
+    /// one of no guarantee is started.
+    #[test]
+    fn nothing_is_shed_for_a_lower_tier(
+        steps in prop::collection::vec((0..5usize, 0..3u32, any::<bool>()), 1..400),
+    ) {
+        let names = ["stock-lookup", "booking", "chat", "layout", "assessment"];
+        let classes = fleet().classes;
+        let mut pool = pool(2, 1);
+        let mut class_of: IndexMap<u64, &str> = IndexMap::new();
+        let mut running: Vec<u64> = Vec::new();
+        for (now, (class, ends, burst)) in steps.into_iter().enumerate() {
+            let now = now as u64 * 10;
+            for _ in 0..if burst { 20 } else { 1 } {
+                let id = class_of.len() as u64 + 1;
+                class_of.insert(id, names[class]);
+                match pool.arrive(now, job(id, names[class], now)) {
+                    Arrival::Displaced(gone) => prop_assert_eq!(class_of[&gone], names[class]),
+                    Arrival::Refused(why) => {
+                        prop_assert!(why == Refusal::QueueFull || !classes[names[class]].protected);
+                    }
+                    Arrival::Queued => {}
+                }
+            }
+            for grant in grants(&mut pool, now) {
+                let class = class_of[&grant.job];
+                if classes[class].protected {
+                    prop_assert_eq!(grant.priority, 0);
+                }
+                running.push(grant.job);
+            }
+            for _ in 0..ends.min(running.len() as u32) {
+                pool.done(now, running.remove(0), Outcome::Good { gap: None });
+            }
+        }
+    }
+
+    /// At most a third of a service is out at a time, whatever its outcomes are.
+    #[test]
+    fn ejection_is_bounded(outcomes in prop::collection::vec(0..3u8, 1..300)) {
+        let mut pool = pool(9, 1);
+        for (i, outcome) in outcomes.into_iter().enumerate() {
+            let now = i as u64 * 50;
+            pool.tick(now);
+            pool.arrive(now, job(i as u64 + 1, "chat", now));
+            for grant in grants(&mut pool, now) {
+                let outcome = if outcome == 0 { Outcome::Good { gap: None } } else { Outcome::Bad };
+                pool.done(now, grant.job, outcome);
+            }
+            let out = pool.endpoints().filter(|e| e.health != Health::Up).count();
+            prop_assert!(out <= 3, "{out} of 9 are out");
+        }
+    }
+
+    /// Retries stay within the ratio and what may be saved up.
+    #[test]
+    fn retries_never_multiply_an_overload(requests in 1..500u32, tries in 1..5u32) {
+        let mut budget = Budget::default();
+        let mut retries = 0;
+        for _ in 0..requests {
+            budget.earn(0.1);
+            retries += (0..tries).filter(|_| budget.take()).count() as u32;
+        }
+        prop_assert!(f64::from(retries) <= 0.1 * f64::from(requests) + 11.0);
+    }
+
+    /// The first claim of a key that was not released holds it, in any order of records, with
+    /// repeated appends.
+    #[test]
+    fn one_claim_holds_a_key(ops in prop::collection::vec((0..4u128, 0..3u8), 1..60)) {
+        let mut table = Table::default();
+        let mut holder: Option<u128> = None;
+        let mut freed = Vec::new();
+        for (at, (n, kind)) in ops.into_iter().enumerate() {
+            let nonce = Uuid::from_u128(n);
+            let (key, digest, window) = (1, 1, 1_000_000);
+            let claim = Claim { key, nonce, boot: nonce, digest, window };
+            match kind {
+                0 | 1 => {
+                    table.apply(at as u64, &Op::Claim(claim));
+                    if holder.is_none() && !freed.contains(&n) {
+                        holder = Some(n);
+                    }
+                }
+                _ => {
+                    table.apply(at as u64, &Op::Release { key, nonce });
+                    if holder == Some(n) {
+                        holder = None;
+                        freed.push(n);
+                    }
+                }
+            }
+            for n in 0..4 {
+                let first = table.seat(key, Uuid::from_u128(n), digest, at as u64) == Seat::First;
+                prop_assert_eq!(first, holder == Some(n));
+            }
+        }
+    }
+}
+
+#[test]
+fn burst_of_one_workspace_displaces_its_own() {
+    let mut pool = Pool::new(0, "recife", Policy::Ours, 7);
+    let mut classes = fleet().classes;
+    classes["chat"].params.queue = 10;
+    pool.configure(&classes, IndexMap::new());
+    pool.mates(&[0]);
+    for id in 1..=10 {
+        assert_eq!(pool.arrive(0, job(id, "chat", 0)), Arrival::Queued);
+    }
+    let other = Job { workspace: "olinda".to_owned(), ..job(11, "chat", 0) };
+    assert_eq!(pool.arrive(0, other), Arrival::Displaced(10));
+    assert_eq!(pool.arrive(0, job(12, "chat", 0)), Arrival::Refused(Refusal::QueueFull));
+}
+
+#[test]
+fn urgent_work_goes_past_its_part() {
+    let mut pool = pool(1, 2);
+    pool.peer(0, 1, Load::default());
+    for id in 1..=8 {
+        pool.arrive(0, job(id, "assessment", 0));
+    }
+    assert_eq!(grants(&mut pool, 0).len(), 4);
+    pool.arrive(10, job(20, "booking", 10));
+    let urgent = grants(&mut pool, 10);
+    assert_eq!(urgent.len(), 1, "a booking waits behind patient work");
+    assert_eq!(urgent[0].priority, 0);
+}
+
+#[test]
+fn word_of_a_peer_stops_new_work_on_a_leaving_endpoint() {
+    let mut pool = pool(2, 1);
+    let report = Report { boot: "one".to_owned(), ..Report::default() };
+    pool.report(0, "engine-0", report.clone());
+    pool.leaving("engine-0", "an earlier life");
+    assert_eq!(pool.leavers(), []);
+    pool.leaving("engine-0", "one");
+    for id in 1..=8 {
+        pool.arrive(0, job(id, "chat", 0));
+    }
+    assert!(grants(&mut pool, 0).iter().all(|g| g.endpoint == "engine-1"));
+    // Reborn under the same name, it takes work again.
+    pool.report(1_000, "engine-0", Report { boot: "two".to_owned(), ..report });
+    assert!(grants(&mut pool, 1_000).iter().any(|g| g.endpoint == "engine-0"));
+}
+
+#[test]
+fn silent_endpoint_gets_no_new_work() {
+    let mut pool = pool(2, 1);
+    for name in ["engine-0", "engine-1"] {
+        pool.report(0, name, Report { boot: "one".to_owned(), ..Report::default() });
+    }
+    pool.report(4_000, "engine-1", Report { boot: "one".to_owned(), ..Report::default() });
+    for id in 1..=4 {
+        pool.arrive(4_000, job(id, "chat", 4_000));
+    }
+    assert!(grants(&mut pool, 4_000).iter().all(|g| g.endpoint == "engine-1"));
+}
+
+#[test]
+fn innocent_content_is_not_quarantined_beside_the_culprit() {
+    let (culprit, innocent) = (1, 2);
+    let mut suspects = Suspects::default();
+    suspects.crashed(0, culprit, "engine-1/a", 3, 600_000);
+    suspects.crashed(0, innocent, "engine-1/a", 3, 600_000);
+    assert_eq!(suspects.standing(1, innocent), Standing::Suspect);
+    // Suspects run apart from then on: the culprit alone crashes the next two.
+    suspects.crashed(10, culprit, "engine-2/a", 3, 600_000);
+    assert!(suspects.crashed(20, culprit, "engine-3/a", 3, 600_000));
+    assert_eq!(suspects.standing(30, culprit), Standing::Quarantined { until: 600_020 });
+    assert_eq!(suspects.standing(30, innocent), Standing::Suspect);
+    assert!(suspects.release(culprit));
+    assert_eq!(suspects.standing(40, culprit), Standing::Clear);
+    // Peers may repeat the old crashes; they count no more.
+    assert!(!suspects.crashed(50, culprit, "engine-2/a", 3, 600_000));
+    assert_eq!(suspects.standing(60, culprit), Standing::Clear);
+}
+
+#[test]
+fn suspects_do_not_share_an_endpoint() {
+    let mut pool = pool(2, 1);
+    for id in 1..=3 {
+        pool.arrive(0, Job { suspect: true, ..job(id, "chat", 0) });
+    }
+    let list = grants(&mut pool, 0);
+    assert_eq!(list.len(), 2);
+    assert_ne!(list[0].endpoint, list[1].endpoint);
+}
+
+const SCENARIO: &str = "[scenario]\nlength = 60s\nengines = 4\ninstances = 9\n";
+
+fn tally(more: &str, seed: u64) -> sassafrasworks::load::tally::Tally {
+    let fleet = fleet();
+    let mut scenario = Scenario::parse("scenario", &format!("{SCENARIO}{more}"), &fleet).unwrap();
+    scenario.seed = seed;
+    Model::new(&scenario, &fleet, Setup::Fleet(Policy::Ours)).run()
+}
+
+/// Patient work ends at no less than half of what its guaranteed slots could do alone, while
+/// urgent work asks for several times the capacity.
+#[test]
+fn patient_work_progresses_under_urgent_overload() {
+    let load = "[stream urgent]\nclass = chat\nworkspace = recife\nrate = 40\ntokens = 100\n\
+                [stream patient]\nclass = assessment\nworkspace = recife\nrate = 2\ntokens = 50\n";
+    for seed in 1..=3 {
+        let tally = tally(load, seed);
+        let patient = &tally.classes["assessment"];
+        // 3 of 32 slots, 50 tokens of about 24 ms and the prefill: 2.3 a second for 60 s.
+        assert!(patient.whole >= 69, "seed {seed}: {} whole", patient.whole);
+    }
+}
+
+#[test]
+fn urgent_work_meets_its_target_through_a_patient_burst() {
+    let load = "[stream urgent]\nclass = stock-lookup\nworkspace = recife\nrate = 10\ntokens = 20\n\
+                [stream patient]\nclass = assessment\nworkspace = recife\nrate = 20\ntokens = 400\n";
+    for seed in 1..=3 {
+        let tally = tally(load, seed);
+        let urgent = &tally.classes["stock-lookup"];
+        assert_eq!(urgent.refused, 0);
+        assert!(tally.attained("stock-lookup") >= 0.95, "seed {seed}:\n{}", tally.table());
+    }
+}
+
+#[test]
+fn straggler_is_left_while_others_have_room() {
+    let load = "[stream chat]\nclass = chat\nworkspace = recife\nrate = 8\ntokens = 60\n\
+                [trouble slow]\nengine = 1\nat = 5s\nuntil = 60s\nslow = 10\n";
+    for seed in 1..=3 {
+        let tally = tally(load, seed);
+        assert!(tally.attained("chat") >= 0.95, "seed {seed}:\n{}", tally.table());
+    }
+}
