--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -33,7 +33,7 @@
         $(
             #[test]
             fn $name() {
-                $run($input);
+                $run(&$input);
             }
         )+
     };
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -192,7 +192,7 @@
     peers_cut: bool,
 }
 
-fn leaves(how: Leaving) {
+fn leaves(how: &Leaving) {
     let lag = if how.by_list { 1_000 } else { 600_000 };
     let rig = Rig::start(&Shape { list_lag: lag, plains: 3, ..Shape::default() });
     if how.log_down {
@@ -363,7 +363,7 @@
 
 const GOOD: &str = "POST /v1/chat/completions HTTP/1.1\r\nauthorization: Bearer recife-secret\r\n";
 
-fn refused(bad: Bad) {
+fn refused(bad: &Bad) {
     let rig = Rig::start(&Shape { entries: 1, engines: 1, plains: 1, ..Shape::default() });
     let mut caller = TcpStream::connect(rig.entries[0].listen).unwrap();
     let length = bad.body.len();
