--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -6,6 +6,7 @@
 use crate::config::Fleet;
 use crate::load::demo::Demo;
 use crate::load::model;
+use crate::load::open::{self, Target};
 use crate::load::scenario::Scenario;
 
 const BRIEF: &str = "usage: sassafras-load COMMAND [options]
@@ -13,6 +14,8 @@
 commands:
   demo                          the demo's steps against examples/standin.ini
   model SCENARIO                compare policies on the model, on equal draws
+  run SCENARIO                  open-loop load on running instances
+  keys                          bookings with keys at one rate, and what claims cost
 ";
 
 /// Runs what the command line names.
@@ -23,6 +26,10 @@
     options.optopt("s", "seed", "seed in place of the scenario's", "N");
     options.optopt("n", "instances", "instances in place of the scenario's", "N");
     options.optflag("b", "brief", "totals and attainment only");
+    options.optmulti("e", "entry", "caller address of an instance; may be repeated", "IP:PORT");
+    options.optopt("r", "rate", "bookings a second", "N");
+    options.optopt("t", "seconds", "length of the bookings", "N");
+    options.optflag("", "bare", "send bookings without keys");
     let matches = parse(&mut options, BRIEF, args)?;
     match matches.free.iter().map(String::as_str).collect::<Vec<_>>().as_slice() {
         ["demo"] => {
@@ -31,10 +38,48 @@
             Demo::new(control).run().map_err(Stop::Failed)
         }
         ["model", file] => compare(&matches, file),
+        ["run", file] => {
+            let (scenario, fleet) = scenario(&matches, file)?;
+            let tally = open::run(&scenario, &fleet, &target(&matches)?);
+            println!("{}\n{}", tally.line(), tally.table());
+            Ok(())
+        }
+        ["keys"] => keys(&matches),
         _ => Err(Stop::Usage(BRIEF.to_owned())),
     }
 }
 
+/// Instances and tokens of the examples.
+fn target(matches: &Matches) -> Result<Target, Stop> {
+    let parse =
+        |text: String| text.parse().map_err(|e| Stop::Usage(format!("--entry {text}: {e}")));
+    let entries: Vec<std::net::SocketAddr> =
+        matches.opt_strs("entry").into_iter().map(parse).collect::<Result<_, _>>()?;
+    if entries.is_empty() {
+        return Err(Stop::Usage("--entry is missing".to_owned()));
+    }
+    let control = number(matches, "control")?.unwrap_or_else(|| ([127, 0, 0, 1], 17_000).into());
+    let token = |w: &str| (w.to_owned(), format!("{w}-secret"));
+    let tokens = ["recife", "olinda", "praha", "brno"].map(token).into();
+    Ok(Target { entries, control, tokens })
+}
+
+fn keys(matches: &Matches) -> Result<(), Stop> {
+    let rate = number(matches, "rate")?.unwrap_or(10);
+    let seconds = number(matches, "seconds")?.unwrap_or(10);
+    let cost = open::keys(&target(matches)?, rate, seconds, matches.opt_present("bare"));
+    println!(
+        "rate {rate}: {} of {} good, {:.2} appends each, p50 {} ms, p95 {} ms, p99 {} ms",
+        cost.good,
+        cost.sent,
+        cost.appends as f64 / cost.sent.max(1) as f64,
+        cost.times.value_at_quantile(0.5),
+        cost.times.value_at_quantile(0.95),
+        cost.times.value_at_quantile(0.99)
+    );
+    Ok(())
+}
+
 fn number<T: std::str::FromStr>(matches: &Matches, name: &str) -> Result<Option<T>, Stop>
 where
     T::Err: std::fmt::Display,
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -3,5 +3,6 @@
 pub mod client;
 pub mod demo;
 pub mod model;
+pub mod open;
 pub mod scenario;
 pub mod tally;
