--- a/src/adapter/serve.rs
+++ b/src/adapter/serve.rs
@@ -22,6 +22,8 @@
 const WRITE_LIMIT: Duration = Duration::from_secs(10);
 /// How often an idle connection looks for shutdown.
 const SLICE: Duration = Duration::from_millis(200);
+/// Longest time for which a refused caller is read.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 /// Stack of a connection's thread in bytes.
 const STACK: usize = 512 << 10;
 
@@ -261,7 +263,6 @@
             Head::Bad(bad) => {
                 let mut reply = reply(&mut stream, true);
                 (shared.service.refuse)(bad, &mut reply);
-                // Takes what the caller still sends, so that it can read the answer.
                 stream.shutdown(std::net::Shutdown::Write).ok();
                 drain(&mut stream);
                 return;
@@ -286,12 +287,15 @@
     Reply { stream, close, chunked: false, begun: false }
 }
 
+/// Reads what a refused caller still sends, so that closing doesn't reset its connection before
+/// it has read the answer.
 fn drain(stream: &mut TcpStream) {
     stream.set_read_timeout(Some(SLICE)).ok();
     let mut sink = [0; 4096];
-    let end = Instant::now() + Duration::from_secs(2);
+    let end = Instant::now() + DRAIN_LIMIT;
     while Instant::now() < end {
         match stream.read(&mut sink) {
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
             Ok(0) | Err(_) => return,
             Ok(_) => {}
         }
--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -124,6 +124,8 @@
         pub services: IndexMap<String, Service>,
         /// Workspaces by name.
         pub workspaces: IndexMap<String, Workspace>,
+        /// Names of workspaces by the hash of their token.
+        pub tokens: IndexMap<String, String>,
         /// Exceptions in the order of the document.
         pub exceptions: Vec<Exception>,
     }
@@ -243,9 +245,8 @@
 
     /// Workspace that owns the bearer token.
     pub fn workspace_of(&self, token: &str) -> Option<(&str, &Workspace)> {
-        let hash = token_hash(token);
-        let found = self.workspaces.iter().find(|(_, w)| w.token == hash);
-        found.map(|(name, w)| (name.as_str(), w))
+        let name = self.tokens.get(&token_hash(token))?;
+        self.workspaces.get(name).map(|w| (name.as_str(), w))
     }
 
     /// Service that serves `model`.
@@ -289,7 +290,7 @@
         let tiers = self.tiers();
         let classes = self.classes(&tiers, defaults);
         let services = self.services(&classes);
-        let workspaces = self.workspaces(&classes);
+        let (workspaces, tokens) = self.workspaces(&classes);
         let mut fleet = Fleet {
             meta,
             crash_limit: limits.crashes,
@@ -299,6 +300,7 @@
             classes,
             services,
             workspaces,
+            tokens,
             exceptions: Vec::new(),
         };
         self.exceptions(&mut fleet);
@@ -485,8 +487,12 @@
         map
     }
 
-    fn workspaces(&mut self, classes: &IndexMap<String, Class>) -> IndexMap<String, Workspace> {
+    fn workspaces(
+        &mut self,
+        classes: &IndexMap<String, Class>,
+    ) -> (IndexMap<String, Workspace>, IndexMap<String, String>) {
         let mut map: IndexMap<String, Workspace> = IndexMap::new();
+        let mut tokens: IndexMap<String, String> = IndexMap::new();
         for s in self.of("workspace") {
             let text = s.need("token", self.out);
             let hash = text.strip_prefix(HASH_PREFIX).unwrap_or("");
@@ -496,8 +502,9 @@
                 self.out.add(s.line_of("token"), "token", text);
             }
             let token = hash.to_ascii_lowercase();
-            let twin = map.iter().find(|(_, w)| w.token == token && !token.is_empty());
-            if let Some((name, _)) = twin {
+            if let Some(name) = tokens.insert(token.clone(), s.name.clone())
+                && !token.is_empty()
+            {
                 let text = format!("workspace `{name}` has the same token");
                 self.out.add(s.line_of("token"), "token", text);
             }
@@ -505,7 +512,7 @@
             let running = s.read("running", self.out).unwrap_or(0);
             map.insert(s.name.clone(), Workspace { token, class, running });
         }
-        map
+        (map, tokens)
     }
 
     fn exceptions(&mut self, fleet: &mut Fleet) {
--- a/src/config/ini.rs
+++ b/src/config/ini.rs
@@ -34,6 +34,7 @@
 /// Parses `text`. Problems are added to `out`; what could be read is returned.
 pub fn parse(text: &str, out: &mut Findings) -> Vec<Section> {
     let mut list: Vec<Section> = Vec::new();
+    let mut titles = IndexSet::new();
     for (i, raw) in text.lines().enumerate() {
         let line = i + 1;
         let row = raw.trim();
@@ -41,7 +42,7 @@
             continue;
         }
         if let Some(head) = row.strip_prefix('[') {
-            heading(head, line, &mut list, out);
+            heading(head, line, &mut list, &mut titles, out);
             continue;
         }
         pair(row, line, &mut list, out);
@@ -49,17 +50,24 @@
     list
 }
 
-fn heading(head: &str, line: usize, list: &mut Vec<Section>, out: &mut Findings) {
+fn heading(
+    head: &str,
+    line: usize,
+    list: &mut Vec<Section>,
+    titles: &mut IndexSet<String>,
+    out: &mut Findings,
+) {
     let Some(head) = head.strip_suffix(']') else {
         out.add(line, head, "section heading has no closing bracket");
         return;
     };
     let (kind, name) = head.trim().split_once(char::is_whitespace).unwrap_or((head.trim(), ""));
     let (kind, name) = (kind.to_owned(), name.trim().to_owned());
-    if list.iter().any(|s| s.kind == kind && s.name == name) {
+    let section = Section { kind, name, line, ..Section::default() };
+    if !titles.insert(section.title()) {
         out.add(line, head, "section stands twice");
     }
-    list.push(Section { kind, name, line, ..Section::default() });
+    list.push(section);
 }
 
 fn pair(row: &str, line: usize, list: &mut [Section], out: &mut Findings) {
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -197,14 +197,24 @@
 fn talk(entry: &Arc<Entry>, name: &str) {
     while !entry.stopped() {
         let Some(row) = entry.row(name) else { break };
-        exchange(entry, &row.admin);
-        // Both sides start exchanges, so each hears the other at twice this rate.
-        entry.clock.sleep(2 * entry.settings.gossip);
+        if starts(entry, name) {
+            exchange(entry, &row.admin);
+        }
+        entry.clock.sleep(entry.settings.gossip);
         watch(entry);
     }
     lock(&entry.peers.map).swap_remove(name);
 }
 
+/// True when this instance is to start the next exchange with a peer: one of the two does, the
+/// other only when it hears nothing.
+fn starts(entry: &Entry, name: &str) -> bool {
+    let own = number_of(&entry.settings.name);
+    let heard = lock(&entry.peers.map).get(name).map_or(0, |p| p.heard);
+    let quiet = entry.now().saturating_sub(heard) > 2 * entry.settings.gossip;
+    own < number_of(name) || quiet
+}
+
 fn exchange(entry: &Entry, admin: &str) {
     let url = format!("http://{admin}/peer/word");
     let own = word(entry);
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -14,7 +14,7 @@
 /// Longest wait for a load report, in milliseconds.
 const REPORT_LIMIT: u64 = 1_000;
 /// Interval of the instance list, in milliseconds.
-const LIST_EVERY: u64 = 500;
+const LIST_EVERY: u64 = 1_000;
 
 /// The instance list as last read.
 #[derive(Debug, Default)]
--- a/src/policy/pool.rs
+++ b/src/policy/pool.rs
@@ -319,10 +319,10 @@
             };
             load.slow.insert(e.name.clone(), out);
         }
-        for workspace in self.limits.keys() {
-            let n = self.running_for(workspace);
-            if n > 0 {
-                load.workspaces.insert(workspace.clone(), n);
+        for run in self.running.values() {
+            let workspace = &run.job.workspace;
+            if self.limits.get(workspace).is_some_and(|n| *n > 0) {
+                *load.workspaces.entry(workspace.clone()).or_default() += 1;
             }
         }
         load
