Split the pool and the configuration reader into modules by job

Cause: pool.rs had 860 lines and fleet.rs 621; a newcomer had to read all to change one decision. Change: policy/pool has mod (queue and grants), view (peers and parts), pace (stragglers), pick (endpoints); config has fleet (data) and read (validation). Two tests that stood twice are one table. No decision changed.

--- a/src/cmd/ctl/publish.rs
+++ b/src/cmd/ctl/publish.rs
@@ -6,6 +6,7 @@
 use uuid::Uuid;
 
 use super::{Stop, addr, argument, await_more, fold, options};
+use crate::adapter::clock::Clock;
 use crate::adapter::codec;
 use crate::adapter::log::Log;
 use crate::cmd::slurp;
@@ -13,6 +14,8 @@
 use crate::fleet::config::{self, Decided, Outcome, Record};
 
 const BRIEF: &str = "usage: sassafras-ctl publish FILE --log IP:PORT [--wait SECONDS]";
+/// Pause before a failed append is repeated, in milliseconds.
+const PAUSE: u64 = 200;
 /// How long to look for the outcome, in seconds.
 const WAIT: u64 = 10;
 
@@ -60,7 +63,7 @@
             if let Some(decided) = self.find() {
                 return report(&decided);
             }
-            std::thread::sleep(Duration::from_millis(200));
+            Clock::system().sleep(PAUSE);
         }
         loop {
             if let Some(decided) = self.find() {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -4,6 +4,7 @@
 pub mod findings;
 pub mod fleet;
 pub mod ini;
+mod read;
 pub mod settings;
 
 pub use diff::diff;
--- a/src/policy/pool.rs
+++ b/src/policy/pool/mod.rs
@@ -1,42 +1,25 @@
 //! One service on one instance: its queue, its endpoints, and who runs next where.
 
+mod pace;
+mod pick;
+mod view;
+
 use indexmap::IndexMap;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use xxhash_rust::xxh3::xxh3_64;
-
-use super::budget::Budget;
-use super::endpoint::{Cause, Endpoint, Health, Report, SLOW_RATIO};
-use super::length::Lengths;
-use super::queue::{Entered, Queue};
-use super::share::{self, Demand, Quota, ROTATION, Rule};
-use super::{Job, JobId, Refusal};
+
 use crate::adapter::clock::Millis;
 use crate::config::{Class, Strategy};
 use crate::mechanism::{self, Mechanism};
+use crate::policy::budget::Budget;
+use crate::policy::endpoint::{Cause, Endpoint, Health, Report};
+use crate::policy::length::Lengths;
+use crate::policy::queue::{Entered, Queue};
+use crate::policy::share::{Quota, Rule};
+use crate::policy::{Job, JobId, Refusal};
 
 /// Age in milliseconds from which a peer's word is silent.
 pub const PEER_MAX_AGE: u64 = 2_000;
-/// Age in milliseconds up to which a silent peer's demand is taken to be as it last said.
-const WORD_MEMORY: u64 = 60_000;
-/// Cost of leaving the own failure domain, in loads.
-const DOMAIN_COST: f64 = 0.08;
-/// What a likely cached prefix is worth, in loads.
-const AFFINITY_GAIN: f64 = 0.3;
-/// A preferred endpoint may be loaded up to this ratio of the mean.
-const AFFINITY_BOUND: f64 = 1.25;
-/// Endpoints drawn at random beside the preferred one.
-const DRAWS: usize = 3;
-/// Largest part of a service that may be ejected at a time.
-const EJECT_PART: usize = 3;
-/// How long one instance alone may place suspects on an endpoint, in milliseconds.
-const SUSPECT_TURN: u64 = 2_000;
-/// Start of that time in which nobody may, in milliseconds.
-const SUSPECT_GUARD: u64 = 700;
-/// Time that an endpoint waits for a patient request to be probed with, in milliseconds.
-const PROBE_PATIENCE: u64 = 5_000;
-/// Endpoints whose speed must be known before one can be a straggler.
-const SPEED_PEERS: usize = 3;
 /// Lowest number that engines take as a priority; lower runs first.
 pub const TOP_PRIORITY: u8 = 0;
 
@@ -251,83 +234,6 @@
         leavers.map(|e| (e.name.clone(), e.boot().to_owned())).collect()
     }
 
-    /// Sets which instances share the service, by number; the own one may be among them.
-    pub fn mates(&mut self, listed: &[u64]) {
-        let me = self.me;
-        self.peers.retain(|id, _| listed.contains(id));
-        for id in listed.iter().filter(|id| **id != me) {
-            self.peers.entry(*id).or_insert(None);
-        }
-    }
-
-    /// Takes in a peer's word.
-    pub fn peer(&mut self, now: Millis, id: u64, load: Load) {
-        if id != self.me {
-            self.peers.insert(id, Some(Peer { at: now, load }));
-        }
-    }
-
-    /// A peer said that it has ended.
-    pub fn forget(&mut self, id: u64) {
-        self.peers.swap_remove(&id);
-    }
-
-    fn heard(&self, now: Millis) -> impl Iterator<Item = &Peer> {
-        let fresh = move |p: &&Peer| now.saturating_sub(p.at) <= PEER_MAX_AGE;
-        self.peers.values().flatten().filter(fresh)
-    }
-
-    /// Peers whose last word is not too old to count.
-    fn remembered(&self, now: Millis) -> impl Iterator<Item = (u64, &Peer)> {
-        let fresh = move |p: &&Peer| now.saturating_sub(p.at) <= WORD_MEMORY;
-        self.peers.iter().filter_map(move |(id, p)| p.as_ref().filter(fresh).map(|p| (*id, p)))
-    }
-
-    /// Number of peers of whom nothing is known.
-    fn unknown(&self, now: Millis) -> u32 {
-        (self.peers.len() - self.remembered(now).count()) as u32
-    }
-
-    /// Number of peers that are silent.
-    pub fn silent(&self, now: Millis) -> usize {
-        self.peers.len() - self.heard(now).count()
-    }
-
-    /// The own word for the peers.
-    pub fn load(&self) -> Load {
-        let mut load = Load::default();
-        for class in self.rules.keys() {
-            let counts = (self.running_of(class), self.queue.len(class));
-            if counts != (0, 0) {
-                load.classes.insert(class.clone(), counts);
-            }
-        }
-        for e in self.endpoints.values().filter(|e| e.running() > 0) {
-            load.endpoints.insert(e.name.clone(), e.running());
-            if e.suspects > 0 {
-                load.suspects.insert(e.name.clone(), e.suspects);
-            }
-        }
-        for e in self.endpoints.values() {
-            load.paces.extend(e.speed().map(|gap| (e.name.clone(), gap)));
-        }
-        for e in self.endpoints.values() {
-            let out = match e.health {
-                Health::Ejected { until, cause: Cause::Slow } => Out::Until(until),
-                Health::Probing { busy: true, .. } => Out::Probing,
-                _ => continue,
-            };
-            load.slow.insert(e.name.clone(), out);
-        }
-        for run in self.running.values() {
-            let workspace = &run.job.workspace;
-            if self.limits.get(workspace).is_some_and(|n| *n > 0) {
-                *load.workspaces.entry(workspace.clone()).or_default() += 1;
-            }
-        }
-        load
-    }
-
     /// Changes since the last call.
     pub fn notices(&mut self) -> Vec<Notice> {
         std::mem::take(&mut self.notices)
@@ -386,15 +292,6 @@
         }
     }
 
-    /// Own part of a class's queue bound: what the others leave, at least an equal part.
-    fn bound(&self, now: Millis, class: &str, queue: u32) -> u32 {
-        let part = queue / (self.peers.len() as u32 + 1);
-        let waiting = |p: &Peer| p.load.classes.get(class).map_or(0, |(_, wait)| *wait);
-        let known: u32 = self.remembered(now).map(|(_, p)| waiting(p)).sum();
-        let others = known + part * self.unknown(now);
-        queue.saturating_sub(others).max(part).max(1)
-    }
-
     /// Expected time in milliseconds until a slot is free for one more job of its class.
     fn expected_wait(&self, now: Millis, job: &Job) -> f64 {
         let ahead = f64::from(self.queue.len(&job.class));
@@ -464,153 +361,6 @@
         }
     }
 
-    /// True when one more endpoint may be ejected.
-    fn ejectable(&self) -> bool {
-        if !mechanism::on(Mechanism::Eject) {
-            return false;
-        }
-        let out = |e: &&Endpoint| e.health != Health::Up;
-        self.endpoints.values().filter(out).count() < self.endpoints.len().div_ceil(EJECT_PART)
-    }
-
-    /// A stream from the endpoint has this token gap of late, in milliseconds.
-    pub fn pace(&mut self, now: Millis, endpoint: &str, gap: f64) {
-        let limit = self.slow_limit(now).unwrap_or(f64::MAX);
-        let Some(e) = self.endpoints.get_mut(endpoint) else { return };
-        e.pace(gap);
-        if gap > limit && matches!(e.health, Health::Probing { .. }) {
-            self.slow(now, endpoint);
-        }
-    }
-
-    /// Takes a straggler out of use.
-    fn slow(&mut self, now: Millis, endpoint: &str) {
-        let jitter = 1.0 + self.rng.random::<f64>();
-        if let Some(e) = self.endpoints.get_mut(endpoint) {
-            e.eject(now, Cause::Slow);
-            e.prolong(now, jitter);
-        }
-        self.move_off(now, endpoint);
-        let endpoint = endpoint.to_owned();
-        self.notices.push(Notice::Ejected { endpoint, cause: "slow" });
-    }
-
-    /// True when a peer knows the endpoint to be slow still, or is finding out.
-    fn held_off(&self, now: Millis, endpoint: &str) -> bool {
-        self.heard(now).any(|p| match p.load.slow.get(endpoint) {
-            Some(Out::Probing) => true,
-            Some(Out::Until(until)) => *until > now,
-            None => false,
-        })
-    }
-
-    /// Average token gap of an endpoint, by own and peers' streams.
-    fn speed(&self, now: Millis, e: &Endpoint) -> Option<f64> {
-        let peers = self.heard(now).filter_map(|p| p.load.paces.get(&e.name).copied());
-        let all: Vec<f64> = e.speed().into_iter().chain(peers).collect();
-        (!all.is_empty()).then(|| all.iter().sum::<f64>() / all.len() as f64)
-    }
-
-    /// Token gap from which an endpoint is a straggler; `None` while too few are known.
-    fn slow_limit(&self, now: Millis) -> Option<f64> {
-        let mut speeds: Vec<f64> =
-            self.endpoints.values().filter_map(|e| self.speed(now, e)).collect();
-        if speeds.len() < SPEED_PEERS {
-            return None;
-        }
-        speeds.sort_by(f64::total_cmp);
-        Some(SLOW_RATIO * speeds[speeds.len() / 2])
-    }
-
-    /// Time passed: probes and stragglers. Call a few times a second.
-    pub fn tick(&mut self, now: Millis) {
-        let held: Vec<bool> = self.endpoints.keys().map(|name| self.held_off(now, name)).collect();
-        for (e, held) in self.endpoints.values_mut().zip(held) {
-            let slow = matches!(e.health, Health::Ejected { cause: Cause::Slow, .. });
-            if !(slow && held) {
-                e.tick(now);
-            }
-        }
-        if self.strategy != Strategy::Ours || !self.ejectable() {
-            return;
-        }
-        let Some(limit) = self.slow_limit(now) else { return };
-        let slow =
-            |e: &&Endpoint| e.health == Health::Up && self.speed(now, e).is_some_and(|s| s > limit);
-        if let Some(endpoint) = self.endpoints.values().find(slow).map(|e| e.name.clone()) {
-            self.slow(now, &endpoint);
-        }
-    }
-
-    /// Marks streams on an endpoint to go on elsewhere, the most urgent first, as far as there
-    /// are free slots.
-    fn move_off(&mut self, now: Millis, endpoint: &str) {
-        if !mechanism::on(Mechanism::Moves) {
-            return;
-        }
-        let others = |e: &&Endpoint| e.open() && e.name != endpoint;
-        let free =
-            |e: &Endpoint| e.slots.saturating_sub(e.load(self.peer_work(now, &e.name), true));
-        let room: u32 = self.endpoints.values().filter(others).map(free).sum();
-        let room = room as usize / (self.peers.len() + 1);
-        let tier = |r: &Running| self.rules.get(&r.job.class).map_or(0, |rule| rule.tier);
-        let mut ids: Vec<(u8, JobId)> = self
-            .running
-            .iter()
-            .filter(|(_, r)| r.endpoint == endpoint)
-            .map(|(id, r)| (tier(r), *id))
-            .collect();
-        ids.sort_unstable();
-        for (_, id) in ids.into_iter().take(room) {
-            self.running[&id].moving = true;
-        }
-    }
-
-    /// True when a running stream should go on at another endpoint.
-    pub fn moving(&self, job: JobId) -> bool {
-        self.running.get(&job).is_some_and(|r| r.moving)
-    }
-
-    fn peer_work(&self, now: Millis, endpoint: &str) -> u32 {
-        self.heard(now).map(|p| p.load.endpoints.get(endpoint).copied().unwrap_or(0)).sum()
-    }
-
-    /// Own part of the service's slots. A silent peer's demand counts as it last was; after a
-    /// while, or if it was never heard, an equal part is kept for it.
-    pub fn quota(&self, now: Millis) -> Quota {
-        let all = self.slots();
-        if !mechanism::on(Mechanism::Shares) {
-            return Quota { spare: all, ..Quota::default() };
-        }
-        let reserve = all * self.unknown(now) / (self.peers.len() as u32 + 1);
-        let mut demand: Vec<(u64, Demand)> = vec![(self.me, self.demand())];
-        for (id, peer) in self.remembered(now) {
-            let sums = peer.load.classes.iter().map(|(c, (run, wait))| (c.clone(), run + wait));
-            demand.push((id, sums.collect()));
-        }
-        demand.sort_by_key(|(id, _)| *id);
-        let row = demand.iter().position(|(id, _)| *id == self.me).unwrap_or(0);
-        let rows: Vec<Demand> = demand.into_iter().map(|(_, d)| d).collect();
-        let mut grid = share::divide(all - reserve, &self.rules, &rows, now / ROTATION);
-        std::mem::take(&mut grid[row])
-    }
-
-    fn demand(&self) -> Demand {
-        let sum = |c: &String| self.running_of(c) + self.queue.len(c);
-        self.rules.keys().map(|c| (c.clone(), sum(c))).collect()
-    }
-
-    fn limited(&self, now: Millis, workspace: &str) -> bool {
-        let Some(limit) = self.limits.get(workspace).copied().filter(|n| *n > 0) else {
-            return false;
-        };
-        let others: u32 =
-            self.heard(now).map(|p| p.load.workspaces.get(workspace).copied().unwrap_or(0)).sum();
-        let silent = self.silent(now) as u32;
-        let own = limit - limit * silent / (self.peers.len() as u32 + 1);
-        self.running_for(workspace) + others >= own.max(1)
-    }
-
     /// Decides one thing to do. Call again until it says [`Step::Wait`].
     pub fn next(&mut self, now: Millis) -> Step {
         if let Some(job) = self.queue.take_if(|j| j.deadline <= now) {
@@ -706,97 +456,6 @@
         lanes
     }
 
-    /// Picks an endpoint for a job; the costs weighed come with it.
-    fn choose(&mut self, now: Millis, job: &Job, lane: Lane) -> Option<(String, Weighed)> {
-        let open = self.usable(now, job, lane);
-        if open.is_empty() {
-            return None;
-        }
-        let mean = open.iter().map(|c| c.load).sum::<f64>() / open.len() as f64;
-        let home = open
-            .iter()
-            .filter(|_| job.prefix != 0)
-            .max_by_key(|c| xxh3_64(format!("{}/{}", job.prefix, c.name).as_bytes()))
-            .filter(|c| c.load <= AFFINITY_BOUND * mean)
-            .map(|c| c.name.clone());
-        let mut weighed: Weighed = Vec::with_capacity(DRAWS + 1);
-        if let Some(c) = open.iter().find(|c| Some(&c.name) == home.as_ref()) {
-            weighed.push((c.name.clone(), c.cost - AFFINITY_GAIN));
-        }
-        let first = self.rng.random_range(0..open.len());
-        for c in open.iter().cycle().skip(first).take(DRAWS.min(open.len())) {
-            if Some(&c.name) != home.as_ref() {
-                weighed.push((c.name.clone(), c.cost));
-            }
-        }
-        weighed.sort_by(|a, b| a.1.total_cmp(&b.1));
-        weighed.first().map(|(name, _)| (name.clone(), weighed.clone()))
-    }
-
-    /// Endpoints that may take the job, with their loads and costs.
-    fn usable(&self, now: Millis, job: &Job, lane: Lane) -> Vec<Candidate> {
-        let whole = self.silent(now) == 0;
-        let mut peers: IndexMap<&str, u32> = IndexMap::new();
-        for (name, n) in self.heard(now).flat_map(|p| &p.load.endpoints) {
-            *peers.entry(name).or_default() += n;
-        }
-        let all_silent = self.endpoints.values().all(|e| e.silent(now));
-        let speed = |e: &Endpoint| self.speed(now, e);
-        let gaps: Vec<f64> = self.endpoints.values().filter_map(speed).collect();
-        let pace = gaps.iter().sum::<f64>() / gaps.len().max(1) as f64;
-        let tier = self.rules.get(&job.class).map_or(0, |r| r.tier);
-        let urgent = self.may_push(&job.class);
-        let patient = self.rules.values().all(|r| r.tier <= tier);
-        let fits = |e: &&Endpoint| {
-            let probes = match e.health {
-                Health::Probing { since, .. } => patient || now > since + PROBE_PATIENCE,
-                _ => true,
-            };
-            probes
-                && e.open()
-                && (all_silent || !e.silent(now))
-                && !(job.suspect && self.shared(now, e))
-        };
-        let mut open: Vec<Candidate> = Vec::new();
-        for e in self.endpoints.values().filter(fits) {
-            let load = e.load(peers.get(e.name.as_str()).copied().unwrap_or(0), whole);
-            if load >= lane.cap(e.slots, urgent) {
-                continue;
-            }
-            let filled = f64::from(load + 1) / f64::from(e.slots);
-            let slow = speed(e).filter(|_| pace > 0.0).map_or(1.0, |s| (s / pace).max(1.0));
-            let away = if e.domain == self.domain { 0.0 } else { DOMAIN_COST };
-            let beside = 0.5 * f64::from(e.suspects);
-            open.push(Candidate {
-                name: e.name.clone(),
-                load: f64::from(load) / f64::from(e.slots),
-                cost: filled * slow + away + beside,
-            });
-        }
-        if open.iter().any(|c| !job.avoid.contains(&c.name)) {
-            open.retain(|c| !job.avoid.contains(&c.name));
-        }
-        open
-    }
-
-    /// True when a suspect on this endpoint might not be the only one. In each turn, one
-    /// instance alone may place suspects on an endpoint; the start of a turn is left free, so
-    /// that it has heard of suspects that run there still.
-    fn shared(&self, now: Millis, e: &Endpoint) -> bool {
-        if !mechanism::on(Mechanism::Isolation) {
-            return false;
-        }
-        let mut ids: Vec<u64> = self.peers.keys().copied().chain([self.me]).collect();
-        ids.sort_unstable();
-        let turn = xxh3_64(e.name.as_bytes()).wrapping_add(now / SUSPECT_TURN);
-        let owner = ids[(turn % ids.len() as u64) as usize];
-        let placed = |p: &Peer| p.load.suspects.contains_key(&e.name);
-        owner != self.me
-            || (ids.len() > 1 && now % SUSPECT_TURN < SUSPECT_GUARD)
-            || e.suspects > 0
-            || self.heard(now).any(placed)
-    }
-
     fn grant(
         &mut self,
         now: Millis,
@@ -828,14 +487,6 @@
 /// Endpoints weighed and their costs.
 pub type Weighed = Vec<(String, f64)>;
 
-/// An endpoint that may take a job.
-#[derive(Debug)]
-struct Candidate {
-    name: String,
-    load: f64,
-    cost: f64,
-}
-
 /// On what ground a class may start one more job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Lane {
--- /dev/null
+++ b/src/policy/pool/view.rs
@@ -0,0 +1,138 @@
+//! What an instance knows of its peers, and the part of the service that follows from it.
+
+use super::{Load, Out, PEER_MAX_AGE, Peer, Pool};
+use crate::adapter::clock::Millis;
+use crate::mechanism::{self, Mechanism};
+use crate::policy::endpoint::{Cause, Health};
+use crate::policy::share::{self, Demand, Quota, ROTATION};
+
+/// Age in milliseconds up to which a silent peer's demand is taken to be as it last said.
+const WORD_MEMORY: u64 = 60_000;
+
+impl Pool {
+    /// Sets which instances share the service, by number; the own one may be among them.
+    pub fn mates(&mut self, listed: &[u64]) {
+        let me = self.me;
+        self.peers.retain(|id, _| listed.contains(id));
+        for id in listed.iter().filter(|id| **id != me) {
+            self.peers.entry(*id).or_insert(None);
+        }
+    }
+
+    /// Takes in a peer's word.
+    pub fn peer(&mut self, now: Millis, id: u64, load: Load) {
+        if id != self.me {
+            self.peers.insert(id, Some(Peer { at: now, load }));
+        }
+    }
+
+    /// A peer said that it has ended.
+    pub fn forget(&mut self, id: u64) {
+        self.peers.swap_remove(&id);
+    }
+
+    pub(super) fn heard(&self, now: Millis) -> impl Iterator<Item = &Peer> {
+        let fresh = move |p: &&Peer| now.saturating_sub(p.at) <= PEER_MAX_AGE;
+        self.peers.values().flatten().filter(fresh)
+    }
+
+    /// Peers whose last word is not too old to count.
+    pub(super) fn remembered(&self, now: Millis) -> impl Iterator<Item = (u64, &Peer)> {
+        let fresh = move |p: &&Peer| now.saturating_sub(p.at) <= WORD_MEMORY;
+        self.peers.iter().filter_map(move |(id, p)| p.as_ref().filter(fresh).map(|p| (*id, p)))
+    }
+
+    /// Number of peers of whom nothing is known.
+    pub(super) fn unknown(&self, now: Millis) -> u32 {
+        (self.peers.len() - self.remembered(now).count()) as u32
+    }
+
+    /// Number of peers that are silent.
+    pub fn silent(&self, now: Millis) -> usize {
+        self.peers.len() - self.heard(now).count()
+    }
+
+    /// The own word for the peers.
+    pub fn load(&self) -> Load {
+        let mut load = Load::default();
+        for class in self.rules.keys() {
+            let counts = (self.running_of(class), self.queue.len(class));
+            if counts != (0, 0) {
+                load.classes.insert(class.clone(), counts);
+            }
+        }
+        for e in self.endpoints.values().filter(|e| e.running() > 0) {
+            load.endpoints.insert(e.name.clone(), e.running());
+            if e.suspects > 0 {
+                load.suspects.insert(e.name.clone(), e.suspects);
+            }
+        }
+        for e in self.endpoints.values() {
+            load.paces.extend(e.speed().map(|gap| (e.name.clone(), gap)));
+        }
+        for e in self.endpoints.values() {
+            let out = match e.health {
+                Health::Ejected { until, cause: Cause::Slow } => Out::Until(until),
+                Health::Probing { busy: true, .. } => Out::Probing,
+                _ => continue,
+            };
+            load.slow.insert(e.name.clone(), out);
+        }
+        for run in self.running.values() {
+            let workspace = &run.job.workspace;
+            if self.limits.get(workspace).is_some_and(|n| *n > 0) {
+                *load.workspaces.entry(workspace.clone()).or_default() += 1;
+            }
+        }
+        load
+    }
+
+    pub(super) fn peer_work(&self, now: Millis, endpoint: &str) -> u32 {
+        self.heard(now).map(|p| p.load.endpoints.get(endpoint).copied().unwrap_or(0)).sum()
+    }
+
+    /// Own part of the service's slots. A silent peer's demand counts as it last was; after a
+    /// while, or if it was never heard, an equal part is kept for it.
+    pub fn quota(&self, now: Millis) -> Quota {
+        let all = self.slots();
+        if !mechanism::on(Mechanism::Shares) {
+            return Quota { spare: all, ..Quota::default() };
+        }
+        let reserve = all * self.unknown(now) / (self.peers.len() as u32 + 1);
+        let mut demand: Vec<(u64, Demand)> = vec![(self.me, self.demand())];
+        for (id, peer) in self.remembered(now) {
+            let sums = peer.load.classes.iter().map(|(c, (run, wait))| (c.clone(), run + wait));
+            demand.push((id, sums.collect()));
+        }
+        demand.sort_by_key(|(id, _)| *id);
+        let row = demand.iter().position(|(id, _)| *id == self.me).unwrap_or(0);
+        let rows: Vec<Demand> = demand.into_iter().map(|(_, d)| d).collect();
+        let mut grid = share::divide(all - reserve, &self.rules, &rows, now / ROTATION);
+        std::mem::take(&mut grid[row])
+    }
+
+    pub(super) fn demand(&self) -> Demand {
+        let sum = |c: &String| self.running_of(c) + self.queue.len(c);
+        self.rules.keys().map(|c| (c.clone(), sum(c))).collect()
+    }
+
+    pub(super) fn limited(&self, now: Millis, workspace: &str) -> bool {
+        let Some(limit) = self.limits.get(workspace).copied().filter(|n| *n > 0) else {
+            return false;
+        };
+        let others: u32 =
+            self.heard(now).map(|p| p.load.workspaces.get(workspace).copied().unwrap_or(0)).sum();
+        let silent = self.silent(now) as u32;
+        let own = limit - limit * silent / (self.peers.len() as u32 + 1);
+        self.running_for(workspace) + others >= own.max(1)
+    }
+
+    /// Own part of a class's queue bound: what the others leave, at least an equal part.
+    pub(super) fn bound(&self, now: Millis, class: &str, queue: u32) -> u32 {
+        let part = queue / (self.peers.len() as u32 + 1);
+        let waiting = |p: &Peer| p.load.classes.get(class).map_or(0, |(_, wait)| *wait);
+        let known: u32 = self.remembered(now).map(|(_, p)| waiting(p)).sum();
+        let others = known + part * self.unknown(now);
+        queue.saturating_sub(others).max(part).max(1)
+    }
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -61,34 +61,23 @@
     rig.unharmed();
 }
 
-#[test]
-fn cut_between_instance_and_engine_resumes() {
+fn resumes_after(fault: &proxy::Fault) {
     let rig = Rig::start(&Shape::default());
     let prompt = "long layout len=200";
     let got = thread::scope(|s| {
         let asked = s.spawn(|| rig.entries[0].ask().stream("spine-1", prompt, 500).unwrap());
         until("tokens flow", || rig.world.engines.values().any(|e| e.totals().tokens > 20));
         let busy = rig.world.engines.values().find(|e| e.running() > 0).unwrap();
-        rig.proxy(busy.name()).set_fault(proxy::Fault::Cut);
+        rig.proxy(busy.name()).set_fault(*fault);
         asked.join().unwrap()
     });
     assert!(got.whole, "{got:?}");
     assert_eq!(got.text, engine::answer(prompt, 500));
 }
 
-#[test]
-fn frozen_connection_is_noticed_and_resumed() {
-    let rig = Rig::start(&Shape::default());
-    let prompt = "long layout len=200";
-    let got = thread::scope(|s| {
-        let asked = s.spawn(|| rig.entries[0].ask().stream("spine-1", prompt, 500).unwrap());
-        until("tokens flow", || rig.world.engines.values().any(|e| e.totals().tokens > 20));
-        let busy = rig.world.engines.values().find(|e| e.running() > 0).unwrap();
-        rig.proxy(busy.name()).set_fault(proxy::Fault::Freeze);
-        asked.join().unwrap()
-    });
-    assert!(got.whole, "{got:?}");
-    assert_eq!(got.text, engine::answer(prompt, 500));
+cases! { resumes_after:
+    cut_between_instance_and_engine_resumes => proxy::Fault::Cut;
+    frozen_connection_is_noticed_and_resumed => proxy::Fault::Freeze;
 }
 
 #[test]
