End a withdrawn request once; let the list take back that an endpoint leaves

Found by reading: a caller that hung up just as its request was refused made the pool end a job that did not run (invariant violation); an endpoint once listed as leaving stayed out though the list took it back; a plain service's report needed fields that it may not have. Proof: caller_may_hang_up_as_its_request_is_refused is red on the old hall, green now.

--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -438,10 +438,12 @@
             return Ok(Self::End(End::Finished { reason: reason.to_owned(), usage }));
         }
         let text = choice["delta"]["content"].as_str().unwrap_or("").to_owned();
+        // An engine that doesn't number its tokens is taken at its order.
         match value["token"].as_u64() {
+            None => Ok(Self::Token(text)),
             Some(n) if n == next => Ok(Self::Token(text)),
             Some(n) if n < next => Ok(Self::Repeated),
-            _ => Err(Fault::Garbled),
+            Some(_) => Err(Fault::Garbled),
         }
     }
 }
--- a/src/entry/hall.rs
+++ b/src/entry/hall.rs
@@ -116,21 +116,21 @@
                     return Waited::Refused(Refusal::NoEndpoint);
                 }
             }
-            if unwanted() && self.withdraw(clock.now(), id) {
+            if unwanted() {
+                self.withdraw(clock.now(), id);
                 return Waited::Unwanted;
             }
         }
     }
 
     /// Takes a job out of the queue; ends it if it was granted in the meantime.
-    fn withdraw(&self, now: Millis, id: JobId) -> bool {
+    fn withdraw(&self, now: Millis, id: JobId) {
         let mut inner = lock(&self.inner);
-        let seated = inner.seats.swap_remove(&id).is_some();
-        if !inner.pool.cancel(id) && !seated {
+        inner.seats.swap_remove(&id);
+        if !inner.pool.cancel(id) && inner.pool.runs(id) {
             inner.pool.done(now, id, Outcome::Neutral);
         }
         pump(&mut inner, now);
-        true
     }
 
     /// A granted job ended.
--- a/src/policy/endpoint.rs
+++ b/src/policy/endpoint.rs
@@ -20,6 +20,7 @@
 
 /// A load report, as the endpoint sent it.
 #[derive(Debug, Clone, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(default)]
 pub struct Report {
     /// Changes at each restart of the endpoint.
     pub boot: String,
@@ -30,7 +31,6 @@
     /// True when it takes no new work.
     pub draining: bool,
     /// Age of these numbers in milliseconds.
-    #[serde(default)]
     pub age: u64,
 }
 
@@ -65,8 +65,10 @@
     pub domain: String,
     /// Requests it runs at a time.
     pub slots: u32,
-    /// True once the instance list or the endpoint itself says that it leaves.
+    /// True once the instance list, a peer or the endpoint itself says that it leaves.
     pub leaving: bool,
+    /// True while the instance list says that it leaves.
+    listed_out: bool,
     /// Last report and the time it was received.
     pub report: Option<(Millis, Report)>,
     /// Own requests on it by class.
@@ -95,6 +97,7 @@
             domain: domain.to_owned(),
             slots,
             leaving: false,
+            listed_out: false,
             report: None,
             own: IndexMap::new(),
             fresh: 0,
@@ -108,6 +111,17 @@
         }
     }
 
+    /// The instance list says whether it leaves. Where the list takes its word back, the
+    /// endpoint's own word counts.
+    pub fn listed(&mut self, leaving: bool) {
+        if leaving {
+            self.leaving = true;
+        } else if self.listed_out {
+            self.leaving = self.report.as_ref().is_some_and(|(_, r)| r.draining);
+        }
+        self.listed_out = leaving;
+    }
+
     /// Own requests on it.
     pub fn running(&self) -> u32 {
         self.own.values().sum()
--- a/src/policy/pool/mod.rs
+++ b/src/policy/pool/mod.rs
@@ -194,7 +194,7 @@
             if *leaving && !e.leaving {
                 self.notices.push(Notice::Leaving { endpoint: name.clone() });
             }
-            e.leaving |= *leaving;
+            e.listed(*leaving);
         }
         let listed = |name: &str| list.iter().any(|(n, ..)| n == name);
         for e in self.endpoints.values_mut() {
@@ -311,6 +311,11 @@
         paid || !mechanism::on(Mechanism::Budget)
     }
 
+    /// True while a job is granted and has not ended.
+    pub fn runs(&self, job: JobId) -> bool {
+        self.running.contains_key(&job)
+    }
+
     /// A waiting job is no longer wanted. Returns false when it was granted before.
     pub fn cancel(&mut self, job: JobId) -> bool {
         self.queue.remove(job).is_some()
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -6,7 +6,9 @@
 use indexmap::IndexMap;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
+use sassafrasworks::adapter::clock::Clock;
 use sassafrasworks::config::{Fleet, Strategy as Policy};
+use sassafrasworks::entry::hall::{Hall, Waited};
 use sassafrasworks::load::model::{Model, Setup};
 use sassafrasworks::load::scenario::Scenario;
 use sassafrasworks::policy::claim::{Claim, Op, Seat, Table};
@@ -266,6 +268,30 @@
     assert!(grants(&mut pool, 1_000).iter().any(|g| g.endpoint == "engine-0"));
 }
 
+#[test]
+fn list_may_take_back_that_an_endpoint_leaves() {
+    let mut pool = pool(1, 1);
+    let row = |leaving| [("engine-0".to_owned(), String::new(), "recife".to_owned(), leaving)];
+    pool.members(&row(true), 4);
+    pool.arrive(0, job(1, "chat", 0));
+    assert_eq!(grants(&mut pool, 0), []);
+    pool.members(&row(false), 4);
+    assert_eq!(grants(&mut pool, 10).len(), 1);
+}
+
+#[test]
+fn caller_may_hang_up_as_its_request_is_refused() {
+    let clock = Clock::manual(0);
+    let hall = Hall::new("spine", 0, "recife", Policy::Ours, 7);
+    hall.with(0, |pool| pool.configure(&fleet().classes, IndexMap::new()));
+    let refused_then_gone = || {
+        hall.tick(61_000);
+        true
+    };
+    let waited = hall.wait(&clock, job(1, "chat", 0), &refused_then_gone);
+    assert!(matches!(waited, Waited::Unwanted));
+}
+
 #[test]
 fn silent_endpoint_gets_no_new_work() {
     let mut pool = pool(2, 1);
