--- a/src/adapter/endpoint.rs
+++ b/src/adapter/endpoint.rs
@@ -18,6 +18,8 @@
 
 /// How often a waiting call looks for cancellation.
 const SLICE: Duration = Duration::from_millis(50);
+/// Buffers of a connection, in bytes each.
+const BUFFER: usize = 16 << 10;
 /// Longest wait for a connection.
 const CONNECT: Duration = Duration::from_millis(1_000);
 /// Largest whole answer of an endpoint, in bytes.
@@ -110,6 +112,8 @@
         .http_status_as_error(false)
         .max_redirects(0)
         .max_idle_connections(0)
+        .input_buffer_size(BUFFER)
+        .output_buffer_size(BUFFER)
         .proxy(None)
         .build();
     let connector = TcpConnector::default().chain(Watched(Arc::clone(watch)));
--- a/src/adapter/http.rs
+++ b/src/adapter/http.rs
@@ -11,6 +11,8 @@
 
 /// Largest body taken from a peer or the platform, in bytes.
 const BODY_LIMIT: u64 = 64 << 20;
+/// Buffers of a connection, in bytes each.
+const BUFFER: usize = 16 << 10;
 /// Longest wait for a connection.
 const CONNECT: Duration = Duration::from_millis(500);
 
@@ -51,6 +53,8 @@
             .timeout_global(Some(Duration::from_millis(limit)))
             .timeout_connect(Some(CONNECT))
             .http_status_as_error(false)
+            .input_buffer_size(BUFFER)
+            .output_buffer_size(BUFFER)
             .proxy(None)
             .build()
             .new_agent();
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -31,7 +31,7 @@
 /// How long a claimant must be unheard before its request's outcome counts as unknown.
 const CLAIMANT_GRACE: u64 = 1_500;
 /// Age of the own instance list that may be relied on, in milliseconds.
-pub const LIST_MARGIN: u64 = 1_500;
+pub const LIST_MARGIN: u64 = 2_500;
 /// Start of a key that this fleet issued.
 pub const HOME: &str = "home-";
 
