--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -11,7 +11,7 @@
 
 use super::{Entry, gossip, lock};
 use crate::adapter::codec;
-use crate::fleet::peer::{KeyQuery, Snapshot, Word};
+use crate::fleet::peer::{Heartbeat, KeyQuery, Snapshot};
 
 /// Largest body taken, in bytes.
 const BODY_LIMIT: u64 = 8 << 20;
@@ -36,9 +36,9 @@
 fn handle(entry: &Arc<Entry>, request: &Request) -> Response {
     let url = request.url();
     match (request.method(), url.as_str()) {
-        ("POST", "/peer/word") => packed(request, |word: Word| {
-            gossip::hear(entry, &word);
-            gossip::word(entry)
+        ("POST", "/peer/heartbeat") => packed(request, |heartbeat: Heartbeat| {
+            gossip::receive(entry, &heartbeat);
+            gossip::heartbeat(entry)
         }),
         ("POST", "/peer/key") => {
             packed(request, |query: KeyQuery| entry.key_news(query.key, query.wait))
@@ -131,10 +131,10 @@
         })
         .collect();
     let services: Vec<serde_json::Value> = entry
-        .all_halls()
+        .dispatchers()
         .iter()
-        .map(|hall| {
-            hall.read(|pool| {
+        .map(|dispatcher| {
+            dispatcher.read(|pool| {
                 let endpoints: Vec<serde_json::Value> = pool
                     .endpoints()
                     .map(|e| {
@@ -149,7 +149,7 @@
                     })
                     .collect();
                 json!({
-                    "name": hall.name,
+                    "name": dispatcher.name,
                     "waiting": pool.waiting(),
                     "running": pool.in_flight(),
                     "endpoints": endpoints,
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
+use super::dispatch::{Dispatcher, Waited};
 use super::fail::Failure;
-use super::hall::{Hall, Waited};
 use super::members::{self, Look};
 use super::metrics::Metrics;
 use super::trace::{Attempt, Trace};
@@ -82,10 +82,10 @@
 }
 
 /// State of a request across its attempts.
-struct Course<'a> {
+struct Attempts<'a> {
     entry: &'a Arc<Entry>,
     order: &'a Order,
-    hall: Arc<Hall>,
+    dispatcher: Arc<Dispatcher>,
     avoid: Vec<String>,
     sent: bool,
     from: u64,
@@ -103,14 +103,14 @@
         unwanted: &dyn Fn() -> bool,
         mut attempt: impl FnMut(&Grant) -> Tried<T>,
     ) -> Run<T> {
-        let Some(hall) = self.hall(&order.service) else {
+        let Some(dispatcher) = self.dispatcher(&order.service) else {
             let failure = Failure::not_run(404, "unknown_service", "no such service is configured");
             return Run::Failed { failure, sent: false };
         };
-        let mut course = Course {
+        let mut attempts = Attempts {
             entry: self,
             order,
-            hall,
+            dispatcher,
             avoid: Vec::new(),
             sent: false,
             from: 0,
@@ -118,10 +118,10 @@
             crashes: 0,
         };
         loop {
-            let grant = match course.grant(trace, unwanted) {
+            let grant = match attempts.grant(trace, unwanted) {
                 Ok(grant) => grant,
                 Err(Some(failure)) => {
-                    return Run::Failed { failure, sent: course.sent };
+                    return Run::Failed { failure, sent: attempts.sent };
                 }
                 Err(None) => return Run::CallerGone,
             };
@@ -132,12 +132,12 @@
             } else {
                 attempt(&grant)
             };
-            match course.ended(&grant, tried, trace) {
+            match attempts.ended(&grant, tried, trace) {
                 Next::Whole(value) => return Run::Whole(value),
                 Next::CallerGone => return Run::CallerGone,
                 Next::After(After::Again) => {}
                 Next::After(After::Give(failure)) => {
-                    return Run::Failed { failure, sent: course.sent };
+                    return Run::Failed { failure, sent: attempts.sent };
                 }
             }
         }
@@ -150,7 +150,7 @@
     After(After),
 }
 
-impl Course<'_> {
+impl Attempts<'_> {
     /// Waits for an endpoint. `Err(None)` when the caller has hung up.
     fn grant(
         &mut self,
@@ -175,7 +175,7 @@
             avoid: self.avoid.clone(),
             resumed: self.from > 0,
         };
-        let waited = self.hall.wait(&entry.clock, job, unwanted);
+        let waited = self.dispatcher.wait(&entry.clock, job, unwanted);
         let ms = entry.now().saturating_sub(now);
         entry.metrics.waited(&order.class, ms);
         match waited {
@@ -233,7 +233,7 @@
                 (Next::After(after), outcome, format!("{fault} at token {from}"))
             }
         };
-        self.hall.done(self.entry.now(), grant.job, outcome);
+        self.dispatcher.done(self.entry.now(), grant.job, outcome);
         if let Some(last) = trace.attempts.last_mut() {
             last.outcome = word;
         }
@@ -298,7 +298,7 @@
         if now >= self.order.deadline() {
             return After::Give(self.gave_up("its deadline has passed"));
         }
-        if !self.hall.with(now, |pool| pool.may_retry(class)) {
+        if !self.dispatcher.with(now, |pool| pool.may_retry(class)) {
             self.entry.metrics.retried(class, "denied");
             return After::Give(self.gave_up("the retry budget of its class is used up"));
         }
--- a/src/entry/audit.rs
+++ b/src/entry/audit.rs
@@ -1,26 +1,30 @@
 //! Turns changes of endpoints into audit events and metrics.
 
 use super::Entry;
-use super::hall::Hall;
+use super::dispatch::Dispatcher;
 use crate::fleet::audit::EventKind;
 use crate::policy::pool::Notice;
 
 impl Entry {
-    /// Reports what has changed in a hall since the last call.
-    pub(super) fn report(&self, hall: &Hall) {
+    /// Reports what has changed in a dispatcher since the last call.
+    pub(super) fn report(&self, dispatcher: &Dispatcher) {
         let now = self.now();
-        let notices = hall.with(now, super::super::policy::pool::Pool::notices);
+        let notices = dispatcher.with(now, super::super::policy::pool::Pool::notices);
         for notice in notices {
             let (kind, endpoint, detail) = match &notice {
-                Notice::Ejected { endpoint, cause } => {
-                    (EventKind::Ejected, endpoint, format!("out of {} for {cause}", hall.name))
-                }
+                Notice::Ejected { endpoint, cause } => (
+                    EventKind::Ejected,
+                    endpoint,
+                    format!("out of {} for {cause}", dispatcher.name),
+                ),
                 Notice::Restored { endpoint } => {
-                    (EventKind::Restored, endpoint, format!("back in {}", hall.name))
-                }
-                Notice::Leaving { endpoint } => {
-                    (EventKind::Leaving, endpoint, format!("gets no new work of {}", hall.name))
+                    (EventKind::Restored, endpoint, format!("back in {}", dispatcher.name))
                 }
+                Notice::Leaving { endpoint } => (
+                    EventKind::Leaving,
+                    endpoint,
+                    format!("gets no new work of {}", dispatcher.name),
+                ),
             };
             self.event(kind, endpoint, &detail);
         }
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -9,7 +9,7 @@
 
 use super::attempt::{Order, Run, Tried};
 use super::fail::Failure;
-use super::front::Visit;
+use super::front::Context;
 use super::keyed::{Keyed, Sent};
 use super::metrics::Metrics;
 use super::trace::Trace;
@@ -35,7 +35,7 @@
 const PACE_TOKENS: u64 = 5;
 
 /// What a caller asks for.
-struct Ask {
+struct ChatRequest {
     model: String,
     stream: bool,
     body: Value,
@@ -56,7 +56,7 @@
     Failure::not_run(400, "bad_request", text)
 }
 
-fn read(body: &[u8]) -> Result<Ask, Failure> {
+fn read(body: &[u8]) -> Result<ChatRequest, Failure> {
     let body: Value =
         serde_json::from_slice(body).map_err(|e| bad(&format!("the body is not JSON: {e}")))?;
     if !body.is_object() {
@@ -81,27 +81,27 @@
     let content = xxh3_64(format!("{model}\n{text}").as_bytes());
     let first = messages[0]["content"].to_string();
     let prefix = xxh3_64(&first.as_bytes()[..first.len().min(PREFIX)]).max(1);
-    Ok(Ask { model, stream, body, content, prefix })
+    Ok(ChatRequest { model, stream, body, content, prefix })
 }
 
 /// Serves a chat completion.
-pub fn serve(mut visit: Visit<'_>, reply: &mut Reply<'_>) -> Result<(), Failure> {
-    let ask = read(&visit.request.body)?;
-    let fleet = Arc::clone(&visit.fleet);
-    let Some((service, _)) = fleet.service_of(&ask.model) else {
-        let text = format!("no model is called `{}`", ask.model);
+pub fn serve(mut context: Context<'_>, reply: &mut Reply<'_>) -> Result<(), Failure> {
+    let chat = read(&context.request.body)?;
+    let fleet = Arc::clone(&context.fleet);
+    let Some((service, _)) = fleet.service_of(&chat.model) else {
+        let text = format!("no model is called `{}`", chat.model);
         return Err(Failure::not_run(404, "unknown_model", text));
     };
-    let default = fleet.workspaces[&visit.workspace].class.clone();
-    let class = visit.class(&default)?;
-    let order = visit.order(service, &class, ask.content, ask.prefix);
-    let key = if order.once { visit.key(service)? } else { None };
-    let digest = visit.digest();
-    let trace = std::mem::take(&mut visit.trace);
-    let mut talk = Talk {
-        entry: visit.entry,
+    let default = fleet.workspaces[&context.workspace].class.clone();
+    let class = context.class(&default)?;
+    let order = context.order(service, &class, chat.content, chat.prefix);
+    let key = if order.once { context.key(service)? } else { None };
+    let digest = context.digest();
+    let trace = std::mem::take(&mut context.trace);
+    let mut session = Session {
+        entry: context.entry,
         order: &order,
-        ask: &ask,
+        chat: &chat,
         reply,
         begun: false,
         next: 0,
@@ -112,17 +112,17 @@
     };
     match key {
         Some((text, key)) => {
-            talk.keyed(&Keyed { text: &text, key, digest, deadline: order.deadline() }, trace)
+            session.keyed(&Keyed { text: &text, key, digest, deadline: order.deadline() }, trace)
         }
-        None => talk.plain(trace),
+        None => session.plain(trace),
     }
 }
 
 /// One chat on its way to the caller.
-struct Talk<'a, 'r> {
+struct Session<'a, 'r> {
     entry: &'a Arc<Entry>,
     order: &'a Order,
-    ask: &'a Ask,
+    chat: &'a ChatRequest,
     reply: &'a mut Reply<'r>,
     begun: bool,
     /// Next token that the caller is to get.
@@ -134,7 +134,7 @@
     paced: (Millis, u64),
 }
 
-impl Talk<'_, '_> {
+impl Session<'_, '_> {
     /// A chat without a key: tokens go to the caller as they come.
     fn plain(&mut self, mut trace: Trace) -> Result<(), Failure> {
         let line = self.reply.line();
@@ -142,7 +142,7 @@
         let entry = self.entry;
         let gone =
             || !order.once && line.as_ref().is_some_and(super::super::adapter::serve::Line::gone);
-        let live = self.ask.stream && !order.once;
+        let live = self.chat.stream && !order.once;
         let run = entry.run(order, &mut trace, &gone, |grant| self.attempt(grant, live));
         let class = &order.class;
         match run {
@@ -240,7 +240,7 @@
 
     /// The caller's body with the engine's own fields.
     fn engine_body(&self, grant: &Grant, from: u64) -> Value {
-        let mut body = self.ask.body.clone();
+        let mut body = self.chat.body.clone();
         body["stream"] = true.into();
         body["priority"] = grant.priority.into();
         if from > 0 {
@@ -295,13 +295,13 @@
             return false;
         }
         self.paced = (self.last, self.next);
-        let Some(hall) = self.entry.hall(&self.order.service) else { return false };
+        let Some(dispatcher) = self.entry.dispatcher(&self.order.service) else { return false };
         // The first tokens wait for the prefill and say nothing of the pace.
         if since > 0 {
             let gap = self.last.saturating_sub(since) as f64 / tokens as f64;
-            hall.pace(self.last, &grant.endpoint, gap);
+            dispatcher.pace(self.last, &grant.endpoint, gap);
         }
-        !self.order.once && hall.moving(grant.job)
+        !self.order.once && dispatcher.moving(grant.job)
     }
 
     /// Takes one token; sends it on when the caller wants a stream.
@@ -344,7 +344,7 @@
             "id": self.order.id,
             "object": "chat.completion.chunk",
             "created": self.order.arrived / 1_000,
-            "model": self.ask.model,
+            "model": self.chat.model,
             "choices": [{ "index": 0, "delta": delta, "finish_reason": end.map(|e| e.0) }],
         });
         if let Some((_, usage)) = end {
@@ -375,7 +375,7 @@
             "id": self.order.id,
             "object": "chat.completion",
             "created": self.order.arrived / 1_000,
-            "model": self.ask.model,
+            "model": self.chat.model,
             "choices": [{ "index": 0, "message": message, "finish_reason": reason }],
             "usage": usage,
         });
@@ -387,7 +387,7 @@
     fn replay(&mut self, answer: &Answer) -> io::Result<()> {
         let value: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
         let choice = &value["choices"][0];
-        if !self.ask.stream || answer.status != 200 || choice.is_null() {
+        if !self.chat.stream || answer.status != 200 || choice.is_null() {
             let headers = [JSON, ("x-request-id", self.order.id.as_str())];
             return self.reply.send(answer.status, &headers, &answer.body);
         }
--- a/src/entry/hall.rs
+++ b/src/entry/dispatch.rs
@@ -30,22 +30,22 @@
 
 struct Inner {
     pool: Pool,
-    seats: IndexMap<JobId, SyncSender<Step>>,
+    waiters: IndexMap<JobId, SyncSender<Step>>,
     ticked: Millis,
 }
 
 /// One service's queue on this instance.
-pub struct Hall {
+pub struct Dispatcher {
     /// Name of the service.
     pub name: String,
     inner: Mutex<Inner>,
 }
 
-impl Hall {
-    /// An empty hall.
+impl Dispatcher {
+    /// An empty dispatcher.
     pub fn new(name: &str, me: u64, domain: &str, strategy: Strategy, seed: u64) -> Self {
         let pool = Pool::new(me, domain, strategy, seed);
-        let inner = Inner { pool, seats: IndexMap::new(), ticked: 0 };
+        let inner = Inner { pool, waiters: IndexMap::new(), ticked: 0 };
         Self { name: name.to_owned(), inner: Mutex::new(inner) }
     }
 
@@ -94,11 +94,11 @@
         {
             let mut inner = lock(&self.inner);
             let now = clock.now();
-            inner.seats.insert(id, sender);
+            inner.waiters.insert(id, sender);
             match inner.pool.arrive(now, job) {
                 Arrival::Queued => {}
                 Arrival::Refused(why) => {
-                    inner.seats.swap_remove(&id);
+                    inner.waiters.swap_remove(&id);
                     return Waited::Refused(why);
                 }
                 Arrival::Displaced(gone) => {
@@ -126,7 +126,7 @@
     /// Takes a job out of the queue; ends it if it was granted in the meantime.
     fn withdraw(&self, now: Millis, id: JobId) {
         let mut inner = lock(&self.inner);
-        inner.seats.swap_remove(&id);
+        inner.waiters.swap_remove(&id);
         if !inner.pool.cancel(id) && inner.pool.runs(id) {
             inner.pool.done(now, id, Outcome::Neutral);
         }
@@ -159,5 +159,5 @@
 }
 
 fn tell(inner: &mut Inner, id: JobId, step: Step) -> bool {
-    inner.seats.swap_remove(&id).is_some_and(|seat| seat.send(step).is_ok())
+    inner.waiters.swap_remove(&id).is_some_and(|waiter| waiter.send(step).is_ok())
 }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -163,7 +163,7 @@
 /// Says when the log is lost and when it is back; forgets old keys.
 fn watch(entry: &Arc<Entry>, lost: &AtomicU64) {
     entry.clock.sleep(PAUSE);
-    entry.prune_cells();
+    entry.prune_keys();
     let fresh = entry.claims.fresh();
     let age = entry.now().saturating_sub(fresh);
     entry.metrics.log_age.set(age as f64 / 1e3);
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -25,7 +25,7 @@
 const KEY_LIMIT: usize = 255;
 
 /// A caller's request on its way.
-pub struct Visit<'a> {
+pub struct Context<'a> {
     /// Instance.
     pub entry: &'a Arc<Entry>,
     /// Configuration in force when it came in.
@@ -52,12 +52,12 @@
         _ => {}
     }
     let id = format!("req-{}-{}", entry.boot, entry.next_job());
-    if let Err(failure) = visit(entry, request, &id, reply) {
+    if let Err(failure) = context(entry, request, &id, reply) {
         failure.send(&id, reply);
     }
 }
 
-fn visit(
+fn context(
     entry: &Arc<Entry>,
     request: Request,
     id: &str,
@@ -82,10 +82,10 @@
         ..Trace::default()
     };
     let fleet = Arc::clone(&current.fleet);
-    let visit = Visit { entry, fleet, request, id: id.to_owned(), workspace, trace };
-    match (visit.request.method.as_str(), visit.request.path.as_str()) {
+    let context = Context { entry, fleet, request, id: id.to_owned(), workspace, trace };
+    match (context.request.method.as_str(), context.request.path.as_str()) {
         ("GET", "/v1/models") => {
-            ok(reply, &models(&visit.fleet));
+            ok(reply, &models(&context.fleet));
             Ok(())
         }
         ("POST", "/v1/keys") => {
@@ -93,8 +93,8 @@
             ok(reply, &json!({ "key": key }));
             Ok(())
         }
-        ("POST", "/v1/chat/completions") => chat::serve(visit, reply),
-        (_, path) if path.starts_with("/svc/") => plain::serve(visit, reply),
+        ("POST", "/v1/chat/completions") => chat::serve(context, reply),
+        (_, path) if path.starts_with("/svc/") => plain::serve(context, reply),
         (_, "/v1/models" | "/v1/keys" | "/v1/chat/completions") => {
             Err(Failure::not_run(405, "bad_method", "this path does not take this method"))
         }
@@ -116,7 +116,7 @@
     json!({ "object": "list", "data": rows })
 }
 
-impl Visit<'_> {
+impl Context<'_> {
     /// Class of the request: as its header names it, else `or`.
     pub fn class(&self, or: &str) -> Result<String, Failure> {
         let name = self.request.header(CLASS).unwrap_or(or);
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -12,7 +12,7 @@
 use crate::adapter::http::Client;
 use crate::adapter::list::{Instance, Role};
 use crate::fleet::audit::{self, Event, EventKind};
-use crate::fleet::peer::{KeyNews, KeyQuery, Snapshot, Word};
+use crate::fleet::peer::{Heartbeat, KeyNews, KeyQuery, Snapshot};
 use crate::mechanism::{self, Mechanism};
 use crate::policy::claim::Key;
 use crate::policy::pool::PEER_MAX_AGE;
@@ -69,22 +69,23 @@
     }
 }
 
-/// The instance's own word.
-pub fn word(entry: &Entry) -> Word {
-    let halls = entry.all_halls();
+/// The instance's own heartbeat.
+pub fn heartbeat(entry: &Entry) -> Heartbeat {
+    let dispatchers = entry.dispatchers();
     let mut leavers = Vec::new();
     let mut loads = IndexMap::new();
-    for hall in &halls {
-        let (load, leaving) = hall.read(|pool| (pool.load(), pool.leavers()));
-        loads.insert(hall.name.clone(), load);
-        leavers.extend(leaving.into_iter().map(|(name, boot)| (hall.name.clone(), name, boot)));
+    for dispatcher in &dispatchers {
+        let (load, leaving) = dispatcher.read(|pool| (pool.load(), pool.leavers()));
+        loads.insert(dispatcher.name.clone(), load);
+        leavers
+            .extend(leaving.into_iter().map(|(name, boot)| (dispatcher.name.clone(), name, boot)));
     }
     let seq = {
         let mut seq = lock(&entry.peers.seq);
         *seq += 1;
         *seq
     };
-    Word {
+    Heartbeat {
         name: entry.settings.name.clone(),
         boot: entry.boot,
         seq,
@@ -96,34 +97,34 @@
     }
 }
 
-/// Takes in a peer's word.
-pub fn hear(entry: &Entry, word: &Word) {
+/// Takes in a peer's heartbeat.
+pub fn receive(entry: &Entry, heartbeat: &Heartbeat) {
     let now = entry.now();
-    if word.boot == entry.boot {
+    if heartbeat.boot == entry.boot {
         return;
     }
     {
         let mut map = lock(&entry.peers.map);
-        let known = map.get(&word.name);
-        if known.is_some_and(|p| p.boot == word.boot && p.seq >= word.seq) {
+        let known = map.get(&heartbeat.name);
+        if known.is_some_and(|p| p.boot == heartbeat.boot && p.seq >= heartbeat.seq) {
             return;
         }
         let peer = Peer {
-            boot: word.boot,
+            boot: heartbeat.boot,
             heard: now,
-            version: word.version,
-            leaving: word.leaving,
-            seq: word.seq,
+            version: heartbeat.version,
+            leaving: heartbeat.leaving,
+            seq: heartbeat.seq,
         };
-        map.insert(word.name.clone(), peer);
+        map.insert(heartbeat.name.clone(), peer);
     }
-    lock(&entry.peers.boots).insert(word.boot, (word.name.clone(), now));
-    let id = number_of(&word.name);
-    let idle = word.leaving && word.loads.values().all(|l| l.classes.is_empty());
-    for hall in entry.all_halls() {
-        let load = word.loads.get(&hall.name).cloned().unwrap_or_default();
-        let leavers = word.leavers.iter().filter(|(service, ..)| *service == hall.name);
-        hall.with(now, |pool| {
+    lock(&entry.peers.boots).insert(heartbeat.boot, (heartbeat.name.clone(), now));
+    let id = number_of(&heartbeat.name);
+    let idle = heartbeat.leaving && heartbeat.loads.values().all(|l| l.classes.is_empty());
+    for dispatcher in entry.dispatchers() {
+        let load = heartbeat.loads.get(&dispatcher.name).cloned().unwrap_or_default();
+        let leavers = heartbeat.leavers.iter().filter(|(service, ..)| *service == dispatcher.name);
+        dispatcher.with(now, |pool| {
             if idle {
                 pool.forget(id)
             } else {
@@ -132,13 +133,13 @@
             leavers.for_each(|(_, endpoint, boot)| pool.leaving(endpoint, boot));
         });
     }
-    for (content, crashes) in &word.suspects {
+    for (content, crashes) in &heartbeat.suspects {
         for crash in crashes {
             crashed(entry, *content, crash);
         }
     }
-    if word.version > lock(&entry.config).version() {
-        fetch_config(entry, word.version);
+    if heartbeat.version > lock(&entry.config).version() {
+        fetch_config(entry, heartbeat.version);
     }
 }
 
@@ -193,7 +194,7 @@
     }
 }
 
-/// Exchanges words with one peer until it is no longer listed.
+/// Exchanges heartbeats with one peer until it is no longer listed.
 fn talk(entry: &Arc<Entry>, name: &str) {
     while !entry.stopped() {
         let Some(row) = entry.row(name) else { break };
@@ -216,23 +217,23 @@
 }
 
 fn exchange(entry: &Entry, admin: &str) {
-    let url = format!("http://{admin}/peer/word");
-    let own = word(entry);
+    let url = format!("http://{admin}/peer/heartbeat");
+    let own = heartbeat(entry);
     let bytes = crate::adapter::codec::pack(&own);
     match entry.peers.client.post(&url, &bytes) {
         Ok(body) => {
             entry.metrics.control.inc_by((bytes.len() + body.len()) as u64);
-            match crate::adapter::codec::unpack::<Word>(&body) {
-                Ok(word) => hear(entry, &word),
-                Err(e) => tracing::warn!("peers: word of {admin} can't be read: {e}."),
+            match crate::adapter::codec::unpack::<Heartbeat>(&body) {
+                Ok(heartbeat) => receive(entry, &heartbeat),
+                Err(e) => tracing::warn!("peers: heartbeat of {admin} can't be read: {e}."),
             }
         }
         Err(e) => tracing::debug!("peers: {admin} does not answer: {e}."),
     }
 }
 
-/// Tells all peers the present state at once, as a last word.
-pub fn tell_all(entry: &Entry) {
+/// Tells all peers the present state at once, as a last heartbeat.
+pub fn announce(entry: &Entry) {
     let rows = entry.peer_rows();
     thread::scope(|scope| {
         for row in &rows {
@@ -333,7 +334,7 @@
     })
 }
 
-/// True once every listed peer has exchanged words with this instance.
+/// True once every listed peer has exchanged heartbeats with this instance.
 pub fn all_met(entry: &Entry) -> bool {
     let (rows, read) = (entry.peer_rows(), lock(&entry.members).read());
     let peers = entry.peers.all();
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -16,7 +16,9 @@
 use crate::adapter::log::Page;
 use crate::fleet::peer::KeyNews;
 use crate::mechanism::{self, Mechanism};
-use crate::policy::claim::{Answer, Claim, Holder, Key, KeyAge, Op, Seat, State, Table, key_age};
+use crate::policy::claim::{
+    Answer, Claim, Holder, Key, KeyAge, Op, Position, State, Table, key_age,
+};
 
 /// Longest wait for a claim to be decided, in milliseconds.
 const CLAIM_WAIT: u64 = 3_000;
@@ -39,7 +41,7 @@
 pub type Ended = Result<Answer, Failure>;
 
 #[derive(Debug, Clone)]
-enum CellState {
+enum KeyState {
     Running,
     Done(Answer),
     Lost,
@@ -48,26 +50,26 @@
 
 /// A key that this instance has taken.
 #[derive(Debug)]
-struct Cell {
+struct LocalKey {
     digest: u64,
     born: Millis,
-    state: Mutex<CellState>,
+    state: Mutex<KeyState>,
     changed: Condvar,
 }
 
-impl Cell {
-    fn set(&self, state: CellState) {
+impl LocalKey {
+    fn set(&self, state: KeyState) {
         *lock(&self.state) = state;
         self.changed.notify_all();
     }
 
-    fn get(&self) -> CellState {
+    fn get(&self) -> KeyState {
         lock(&self.state).clone()
     }
 
-    fn wait(&self, ms: u64) -> CellState {
+    fn wait(&self, ms: u64) -> KeyState {
         let state = lock(&self.state);
-        if !matches!(*state, CellState::Running) {
+        if !matches!(*state, KeyState::Running) {
             return state.clone();
         }
         let waited = self.changed.wait_timeout(state, Duration::from_millis(ms));
@@ -92,7 +94,7 @@
 pub struct Claims {
     inner: Mutex<Inner>,
     moved: Condvar,
-    cells: Mutex<IndexMap<Key, Arc<Cell>>>,
+    entries: Mutex<IndexMap<Key, Arc<LocalKey>>>,
 }
 
 impl Claims {
@@ -113,7 +115,7 @@
 
     /// Keys remembered.
     pub fn len(&self) -> usize {
-        lock(&self.cells).len()
+        lock(&self.entries).len()
     }
 
     /// True when no key is remembered.
@@ -189,12 +191,13 @@
     }
 
     /// Forgets keys taken longer ago than the window.
-    pub(super) fn prune_cells(&self) {
+    pub(super) fn prune_keys(&self) {
         let now = self.now();
         let window = self.claim_window();
-        let mut cells = lock(&self.claims.cells);
-        cells.retain(|_, c| now < c.born + window || matches!(*lock(&c.state), CellState::Running));
-        self.metrics.keys.set(cells.len() as i64);
+        let mut entries = lock(&self.claims.entries);
+        entries
+            .retain(|_, c| now < c.born + window || matches!(*lock(&c.state), KeyState::Running));
+        self.metrics.keys.set(entries.len() as i64);
     }
 
     /// How long a key is remembered: as configured, but no longer than the log allows.
@@ -229,22 +232,22 @@
             let text = "this instance has just started and is not known to its peers yet";
             return Err(Failure::unknown(503, "not_introduced", text).retry_after(1_000));
         }
-        let (cell, mine) = self.cell(keyed);
-        if cell.digest != keyed.digest {
+        let (local, mine) = self.local_key(keyed);
+        if local.digest != keyed.digest {
             return Err(reused());
         }
         if !mine {
             *note = "joined a request with this key on this instance".to_owned();
-            return self.join(&cell, keyed.deadline);
+            return self.join(&local, keyed.deadline);
         }
         let ended = if keyed.text.starts_with(HOME) || !mechanism::on(Mechanism::Claims) {
             *note = "key issued by this instance".to_owned();
-            self.settle(&cell, send())
+            self.settle(&local, send())
         } else {
-            self.claimed(keyed, &cell, note, send)
+            self.claimed(keyed, &local, note, send)
         };
-        if matches!(*lock(&cell.state), CellState::Running) {
-            invariant!(false, "the cell of a key was left running");
+        if matches!(*lock(&local.state), KeyState::Running) {
+            invariant!(false, "the local state of a key was left running");
         }
         ended
     }
@@ -265,49 +268,49 @@
         }
     }
 
-    /// The cell of a key, and whether this call has made it.
-    fn cell(&self, keyed: &Keyed<'_>) -> (Arc<Cell>, bool) {
-        let mut cells = lock(&self.claims.cells);
-        if let Some(cell) = cells.get(&keyed.key)
-            && !matches!(*lock(&cell.state), CellState::NotSent(_))
+    /// The local state of a key, and whether this call has made it.
+    fn local_key(&self, keyed: &Keyed<'_>) -> (Arc<LocalKey>, bool) {
+        let mut entries = lock(&self.claims.entries);
+        if let Some(local) = entries.get(&keyed.key)
+            && !matches!(*lock(&local.state), KeyState::NotSent(_))
         {
-            return (Arc::clone(cell), false);
+            return (Arc::clone(local), false);
         }
-        let cell = Arc::new(Cell {
+        let local = Arc::new(LocalKey {
             digest: keyed.digest,
             born: self.now(),
-            state: Mutex::new(CellState::Running),
+            state: Mutex::new(KeyState::Running),
             changed: Condvar::new(),
         });
-        cells.insert(keyed.key, Arc::clone(&cell));
-        (cell, true)
+        entries.insert(keyed.key, Arc::clone(&local));
+        (local, true)
     }
 
-    fn join(&self, cell: &Cell, deadline: Millis) -> Ended {
+    fn join(&self, local: &LocalKey, deadline: Millis) -> Ended {
         loop {
-            match cell.wait(LOOK) {
-                CellState::Done(answer) => return Ok(answer),
-                CellState::Lost => return Err(lost()),
-                CellState::NotSent(failure) => return Err(failure),
-                CellState::Running if self.now() >= deadline => return Err(still_running()),
-                CellState::Running => {}
+            match local.wait(LOOK) {
+                KeyState::Done(answer) => return Ok(answer),
+                KeyState::Lost => return Err(lost()),
+                KeyState::NotSent(failure) => return Err(failure),
+                KeyState::Running if self.now() >= deadline => return Err(still_running()),
+                KeyState::Running => {}
             }
         }
     }
 
-    /// Records the result of a send in the cell.
-    fn settle(&self, cell: &Cell, sent: Sent) -> Ended {
+    /// Records the result of a send in the local state.
+    fn settle(&self, local: &LocalKey, sent: Sent) -> Ended {
         match sent {
             Sent::Ran(answer) => {
-                cell.set(CellState::Done(answer.clone()));
+                local.set(KeyState::Done(answer.clone()));
                 Ok(answer)
             }
             Sent::NotSent(failure) => {
-                cell.set(CellState::NotSent(failure.clone()));
+                local.set(KeyState::NotSent(failure.clone()));
                 Err(failure)
             }
             Sent::Lost(failure) => {
-                cell.set(CellState::Lost);
+                local.set(KeyState::Lost);
                 Err(failure)
             }
         }
@@ -316,38 +319,38 @@
     fn claimed(
         self: &Arc<Self>,
         keyed: &Keyed<'_>,
-        cell: &Cell,
+        local: &LocalKey,
         note: &mut String,
         send: impl FnOnce() -> Sent,
     ) -> Ended {
         loop {
             let nonce = Uuid::new_v4();
-            let failure = match self.stake(keyed, nonce) {
-                Stake::First { at } => {
+            let failure = match self.claim_key(keyed, nonce) {
+                ClaimResult::First { at } => {
                     *note = format!("first on the log, {} ms after the claim", self.log_now() - at);
                     let sent = send();
                     self.journal.settle(record(keyed.key, nonce, &sent));
-                    return self.settle(cell, sent);
+                    return self.settle(local, sent);
                 }
-                Stake::Behind(holder) => {
+                ClaimResult::Behind(holder) => {
                     *note = format!("another claim came first, by {}", holder.boot);
                     match self.follow_holder(keyed, holder) {
                         Followed::Free => continue,
                         Followed::Ended(Ok(answer)) => {
-                            cell.set(CellState::Done(answer.clone()));
+                            local.set(KeyState::Done(answer.clone()));
                             return Ok(answer);
                         }
                         Followed::Ended(Err(failure)) => failure,
                     }
                 }
-                Stake::Mismatch => reused(),
-                Stake::None(why) => {
+                ClaimResult::Mismatch => reused(),
+                ClaimResult::None(why) => {
                     *note = format!("no claim: {why}");
                     self.unclaimed(keyed.key)
                 }
             };
             // This instance sent nothing; a resend looks again.
-            cell.set(CellState::NotSent(failure.clone()));
+            local.set(KeyState::NotSent(failure.clone()));
             return Err(failure);
         }
     }
@@ -358,7 +361,7 @@
     }
 
     /// Claims a key on the log and waits until reading the log has decided.
-    fn stake(&self, keyed: &Keyed<'_>, nonce: Uuid) -> Stake {
+    fn claim_key(&self, keyed: &Keyed<'_>, nonce: Uuid) -> ClaimResult {
         if let Some(holder) = self.holder(keyed) {
             return holder;
         }
@@ -367,22 +370,22 @@
         let ticket = self.journal.claim(Op::Claim(claim));
         let end = keyed.deadline.min(self.now() + CLAIM_WAIT);
         loop {
-            let seat = self.seat(keyed, nonce);
+            let seat = self.position(keyed, nonce);
             match seat {
-                Seat::First => {
+                Position::First => {
                     let at =
                         lock(&self.claims.inner).table.holder(keyed.key, 0).map_or(0, |h| h.at);
-                    return Stake::First { at };
+                    return ClaimResult::First { at };
                 }
-                Seat::Behind(holder) => return Stake::Behind(holder),
-                Seat::Mismatch => return Stake::Mismatch,
-                Seat::Free => {}
+                Position::Behind(holder) => return ClaimResult::Behind(holder),
+                Position::Mismatch => return ClaimResult::Mismatch,
+                Position::Free => {}
             }
             let appended = *lock(&ticket);
             let why = match appended {
                 Appended::No => "the log refused it",
                 Appended::Unsettled if !mechanism::on(Mechanism::Settle) => {
-                    return Stake::First { at: self.log_now() };
+                    return ClaimResult::First { at: self.log_now() };
                 }
                 _ if self.now() >= end => "the log did not decide in time",
                 _ => {
@@ -401,34 +404,34 @@
         nonce: Uuid,
         ticket: &Mutex<Appended>,
         why: &'static str,
-    ) -> Stake {
+    ) -> ClaimResult {
         *lock(ticket) = Appended::No;
         let until = self.log_now() + self.claim_window();
         let mut inner = lock(&self.claims.inner);
-        match inner.table.seat(keyed.key, nonce, keyed.digest, until.saturating_sub(1)) {
-            Seat::Free => {
+        match inner.table.position(keyed.key, nonce, keyed.digest, until.saturating_sub(1)) {
+            Position::Free => {
                 inner.given_up.insert(nonce, until);
-                Stake::None(why)
+                ClaimResult::None(why)
             }
-            Seat::First => {
+            Position::First => {
                 let at = inner.table.holder(keyed.key, 0).map_or(0, |h| h.at);
-                Stake::First { at }
+                ClaimResult::First { at }
             }
-            Seat::Behind(holder) => Stake::Behind(holder),
-            Seat::Mismatch => Stake::Mismatch,
+            Position::Behind(holder) => ClaimResult::Behind(holder),
+            Position::Mismatch => ClaimResult::Mismatch,
         }
     }
 
-    fn seat(&self, keyed: &Keyed<'_>, nonce: Uuid) -> Seat {
+    fn position(&self, keyed: &Keyed<'_>, nonce: Uuid) -> Position {
         let now = self.log_now();
-        lock(&self.claims.inner).table.seat(keyed.key, nonce, keyed.digest, now)
+        lock(&self.claims.inner).table.position(keyed.key, nonce, keyed.digest, now)
     }
 
-    fn holder(&self, keyed: &Keyed<'_>) -> Option<Stake> {
-        match self.seat(keyed, Uuid::nil()) {
-            Seat::Behind(holder) => Some(Stake::Behind(holder)),
-            Seat::Mismatch => Some(Stake::Mismatch),
-            Seat::Free | Seat::First => None,
+    fn holder(&self, keyed: &Keyed<'_>) -> Option<ClaimResult> {
+        match self.position(keyed, Uuid::nil()) {
+            Position::Behind(holder) => Some(ClaimResult::Behind(holder)),
+            Position::Mismatch => Some(ClaimResult::Mismatch),
+            Position::Free | Position::First => None,
         }
     }
 
@@ -436,14 +439,14 @@
     fn follow_holder(&self, keyed: &Keyed<'_>, mut holder: Holder) -> Followed {
         let mut heard = self.now();
         loop {
-            match self.seat(keyed, holder.nonce) {
-                Seat::First => {}
-                Seat::Free => return Followed::Free,
-                Seat::Behind(next) => {
+            match self.position(keyed, holder.nonce) {
+                Position::First => {}
+                Position::Free => return Followed::Free,
+                Position::Behind(next) => {
                     holder = next;
                     continue;
                 }
-                Seat::Mismatch => return Followed::Ended(Err(reused())),
+                Position::Mismatch => return Followed::Ended(Err(reused())),
             }
             let state =
                 lock(&self.claims.inner).table.holder(keyed.key, 0).map(|h| h.state.clone());
@@ -499,15 +502,15 @@
 
     /// What this instance knows of a key, for a peer that asks.
     pub(super) fn key_news(&self, key: Key, wait: u64) -> KeyNews {
-        let Some(cell) = lock(&self.claims.cells).get(&key).cloned() else {
+        let Some(local) = lock(&self.claims.entries).get(&key).cloned() else {
             return KeyNews::Unknown;
         };
-        match if wait == 0 { cell.get() } else { cell.wait(wait) } {
-            CellState::Running => KeyNews::Running,
-            CellState::Done(answer) => KeyNews::Done(answer),
-            CellState::Lost => KeyNews::Lost,
-            CellState::NotSent(f) if f.ran == Ran::No => KeyNews::NotSent,
-            CellState::NotSent(_) => KeyNews::Unknown,
+        match if wait == 0 { local.get() } else { local.wait(wait) } {
+            KeyState::Running => KeyNews::Running,
+            KeyState::Done(answer) => KeyNews::Done(answer),
+            KeyState::Lost => KeyNews::Lost,
+            KeyState::NotSent(f) if f.ran == Ran::No => KeyNews::NotSent,
+            KeyState::NotSent(_) => KeyNews::Unknown,
         }
     }
 }
@@ -519,7 +522,7 @@
 }
 
 /// Where a claim stands.
-enum Stake {
+enum ClaimResult {
     First { at: Millis },
     Behind(Holder),
     Mismatch,
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -52,7 +52,7 @@
     });
 }
 
-/// Gives the halls the endpoints and instances of the list.
+/// Gives the dispatchers the endpoints and instances of the list.
 pub fn apply(entry: &Entry) {
     let rows = lock(&entry.members).rows.clone();
     let Some(fleet) = entry.fleet() else { return };
@@ -62,11 +62,11 @@
     let now = entry.now();
     let entries: Vec<u64> =
         rows.iter().filter(|r| r.role == Role::Entry).map(|r| number_of(&r.name)).collect();
-    for hall in entry.all_halls() {
-        let Some(service) = fleet.services.get(&hall.name) else {
+    for dispatcher in entry.dispatchers() {
+        let Some(service) = fleet.services.get(&dispatcher.name) else {
             continue;
         };
-        let of_service = |r: &&Instance| r.role == Role::Endpoint && r.service == hall.name;
+        let of_service = |r: &&Instance| r.role == Role::Endpoint && r.service == dispatcher.name;
         let list: Vec<(String, String, String, bool)> = rows
             .iter()
             .filter(of_service)
@@ -75,9 +75,9 @@
                 (r.name.clone(), r.addr.clone(), r.domain.clone(), leaving)
             })
             .collect();
-        hall.with(now, |pool| {
+        dispatcher.with(now, |pool| {
             pool.members(&list, service.slots);
-            pool.mates(&entries);
+            pool.set_peers(&entries);
         });
     }
 }
@@ -115,11 +115,11 @@
     while !entry.stopped() {
         let Some(row) = entry.row(name) else { return };
         if let Ok(report) = read_report(&client, &row.addr)
-            && let Some(hall) = entry.hall(&row.service)
+            && let Some(dispatcher) = entry.dispatcher(&row.service)
         {
             let now = entry.now();
             gossip::alive(entry, &crash_id(name, &report.boot));
-            hall.with(now, |pool| pool.report(now, name, report));
+            dispatcher.with(now, |pool| pool.report(now, name, report));
         }
         entry.clock.sleep(entry.settings.poll);
     }
@@ -153,8 +153,8 @@
 
 fn gauge(entry: &Entry) {
     use super::metrics::{ByEndpoints, EndpointState};
-    for hall in entry.all_halls() {
-        let states: Vec<EndpointState> = hall.read(|pool| {
+    for dispatcher in entry.dispatchers() {
+        let states: Vec<EndpointState> = dispatcher.read(|pool| {
             let state = |leaving, health| match (leaving, health) {
                 (true, _) => EndpointState::Leaving,
                 (false, Health::Up) => EndpointState::Up,
@@ -164,7 +164,7 @@
         });
         for state in [EndpointState::Up, EndpointState::Out, EndpointState::Leaving] {
             let n = states.iter().filter(|s| **s == state).count();
-            let labels = ByEndpoints { service: hall.name.clone(), state };
+            let labels = ByEndpoints { service: dispatcher.name.clone(), state };
             entry.metrics.endpoints.get_or_create(&labels).set(n as i64);
         }
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,11 +4,11 @@
 pub mod attempt;
 pub mod audit;
 pub mod chat;
+pub mod dispatch;
 pub mod fail;
 pub mod follow;
 pub mod front;
 pub mod gossip;
-pub mod hall;
 pub mod journal;
 pub mod keyed;
 pub mod members;
@@ -34,7 +34,7 @@
 use crate::fleet::config::{Current, Fold};
 use crate::mechanism::{self, Mechanism};
 use crate::policy::suspect::Suspects;
-use hall::Hall;
+use dispatch::Dispatcher;
 
 /// Interval of time-driven decisions, in milliseconds.
 const TICK: u64 = 20;
@@ -62,7 +62,7 @@
     log: Log,
     list: List,
     config: Mutex<Fold>,
-    halls: Mutex<IndexMap<String, Arc<Hall>>>,
+    dispatchers: Mutex<IndexMap<String, Arc<Dispatcher>>>,
     claims: keyed::Claims,
     journal: journal::Journal,
     suspects: Mutex<Suspects>,
@@ -84,7 +84,7 @@
             boot: Uuid::new_v4(),
             born: clock.now(),
             config: Mutex::new(Fold::default()),
-            halls: Mutex::new(IndexMap::new()),
+            dispatchers: Mutex::new(IndexMap::new()),
             claims: keyed::Claims::default(),
             journal: journal::Journal::default(),
             suspects: Mutex::new(Suspects::default()),
@@ -136,9 +136,9 @@
     fn tick(self: &Arc<Self>) {
         self.clock.sleep(TICK);
         let now = self.clock.now();
-        for hall in self.all_halls() {
-            hall.tick(now);
-            self.report(&hall);
+        for dispatcher in self.dispatchers() {
+            dispatcher.tick(now);
+            self.report(&dispatcher);
         }
     }
 
@@ -146,7 +146,7 @@
     pub fn shutdown(self: &Arc<Self>, server: &Server) {
         tracing::info!("entry: {} is leaving.", self.settings.name);
         self.leaving.store(true, Ordering::SeqCst);
-        gossip::tell_all(self);
+        gossip::announce(self);
         self.clock.sleep(self.settings.linger);
         server.close();
         let end = self.clock.now() + self.settings.drain;
@@ -160,7 +160,7 @@
         }
         self.event(EventKind::Stopped, &self.settings.name, "ended gracefully");
         self.flush();
-        gossip::tell_all(self);
+        gossip::announce(self);
         self.stopped.store(true, Ordering::SeqCst);
         tracing::info!("entry: {} has ended.", self.settings.name);
     }
@@ -205,12 +205,12 @@
         lock(&self.config).current().cloned()
     }
 
-    fn hall(&self, service: &str) -> Option<Arc<Hall>> {
-        lock(&self.halls).get(service).cloned()
+    fn dispatcher(&self, service: &str) -> Option<Arc<Dispatcher>> {
+        lock(&self.dispatchers).get(service).cloned()
     }
 
-    fn all_halls(&self) -> Vec<Arc<Hall>> {
-        lock(&self.halls).values().cloned().collect()
+    fn dispatchers(&self) -> Vec<Arc<Dispatcher>> {
+        lock(&self.dispatchers).values().cloned().collect()
     }
 
     /// Puts the configuration in force to use.
@@ -219,16 +219,18 @@
         let limits: IndexMap<String, u32> =
             current.fleet.workspaces.iter().map(|(n, w)| (n.clone(), w.running)).collect();
         let me = number_of(&self.settings.name);
-        let mut halls = lock(&self.halls);
+        let mut dispatchers = lock(&self.dispatchers);
         for (i, name) in current.fleet.services.keys().enumerate() {
-            let hall = halls.entry(name.clone()).or_insert_with(|| {
+            let dispatcher = dispatchers.entry(name.clone()).or_insert_with(|| {
                 let (domain, strategy) = (&self.settings.domain, self.settings.strategy);
-                Arc::new(Hall::new(name, me, domain, strategy, me.wrapping_add(i as u64)))
+                Arc::new(Dispatcher::new(name, me, domain, strategy, me.wrapping_add(i as u64)))
             });
-            hall.with(now, |pool| pool.configure(&current.fleet.classes, limits.clone()));
+            dispatcher.with(now, |pool| pool.configure(&current.fleet.classes, limits.clone()));
         }
-        halls.retain(|name, hall| current.fleet.services.contains_key(name) || hall.busy());
-        drop(halls);
+        dispatchers.retain(|name, dispatcher| {
+            current.fleet.services.contains_key(name) || dispatcher.busy()
+        });
+        drop(dispatchers);
         self.metrics.version.set(current.version as i64);
         tracing::info!("config: version {} is in force.", current.version);
         members::apply(self);
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -4,7 +4,7 @@
 
 use super::attempt::{Order, Run, Tried};
 use super::fail::Failure;
-use super::front::{CLASS, HOP, KEY, Visit};
+use super::front::{CLASS, Context, HOP, KEY};
 use super::keyed::{HOME, Keyed, Sent};
 use super::trace::Trace;
 use super::{Entry, gossip};
@@ -32,32 +32,32 @@
 ];
 
 /// Serves a call to a plain service.
-pub fn serve(mut visit: Visit<'_>, reply: &mut Reply<'_>) -> Result<(), Failure> {
-    let rest = visit.request.path.trim_start_matches("/svc/").to_owned();
+pub fn serve(mut context: Context<'_>, reply: &mut Reply<'_>) -> Result<(), Failure> {
+    let rest = context.request.path.trim_start_matches("/svc/").to_owned();
     let (name, path) = rest.split_once('/').unwrap_or((&rest, ""));
-    let fleet = Arc::clone(&visit.fleet);
+    let fleet = Arc::clone(&context.fleet);
     let service = fleet.services.get(name).filter(|s| s.kind == Kind::Plain);
     let Some(service) = service else {
         let text = format!("no plain service is called `{name}`");
         return Err(Failure::not_run(404, "unknown_service", text));
     };
-    let safe = matches!(visit.request.method.as_str(), "GET" | "HEAD" | "OPTIONS");
-    let class = visit.class(if safe { &service.read_class } else { &service.write_class })?;
-    let digest = visit.digest();
-    let order = visit.order(name, &class, xxh3_64(&digest.to_le_bytes()), 0);
-    let target = match visit.request.query.as_str() {
+    let safe = matches!(context.request.method.as_str(), "GET" | "HEAD" | "OPTIONS");
+    let class = context.class(if safe { &service.read_class } else { &service.write_class })?;
+    let digest = context.digest();
+    let order = context.order(name, &class, xxh3_64(&digest.to_le_bytes()), 0);
+    let target = match context.request.query.as_str() {
         "" => format!("/{path}"),
         query => format!("/{path}?{query}"),
     };
-    let key = if order.once { visit.key(name)? } else { None };
-    let entry = visit.entry;
+    let key = if order.once { context.key(name)? } else { None };
+    let entry = context.entry;
     if let Some((text, _)) = &key
-        && let Some(answer) = entry.pass_home(text, &visit.request)?
+        && let Some(answer) = entry.pass_home(text, &context.request)?
     {
-        visit.send(&answer, reply);
+        context.send(&answer, reply);
         return Ok(());
     }
-    let mut trace = std::mem::take(&mut visit.trace);
+    let mut trace = std::mem::take(&mut context.trace);
     let line = reply.line();
     let gone = move || line.as_ref().is_some_and(super::super::adapter::serve::Line::gone);
     let ended = match &key {
@@ -65,7 +65,7 @@
             let keyed = Keyed { text, key: *key, digest, deadline: order.deadline() };
             let mut note = String::new();
             let ended = entry.once(&keyed, &mut note, || {
-                match entry.forward(&order, &mut trace, &visit.request, &target, &|| false) {
+                match entry.forward(&order, &mut trace, &context.request, &target, &|| false) {
                     Run::Whole(answer) => Sent::Ran(answer),
                     Run::Failed { failure, sent: false } => Sent::NotSent(failure),
                     Run::Failed { failure, sent: true } => Sent::Lost(failure),
@@ -80,7 +80,7 @@
         None => {
             let stays = || false;
             let unwanted: &dyn Fn() -> bool = if order.once { &stays } else { &gone };
-            match entry.forward(&order, &mut trace, &visit.request, &target, unwanted) {
+            match entry.forward(&order, &mut trace, &context.request, &target, unwanted) {
                 Run::Whole(answer) => Ok(answer),
                 Run::Failed { failure, .. } => Err(failure),
                 Run::CallerGone => {
@@ -94,7 +94,7 @@
         Ok(answer) => {
             entry.first_token(&order);
             entry.finish(trace, "whole");
-            visit.send(&answer, reply);
+            context.send(&answer, reply);
             Ok(())
         }
         Err(failure) => {
--- a/src/fleet/peer.rs
+++ b/src/fleet/peer.rs
@@ -10,12 +10,12 @@
 
 data! {
     /// What an instance says of itself.
-    pub struct Word {
+    pub struct Heartbeat {
         /// Its name in the instance list.
         pub name: String,
         /// Its present life.
         pub boot: Uuid,
-        /// Counts its words.
+        /// Counts its heartbeats.
         pub seq: u64,
         /// True once it is shutting down.
         pub leaving: bool,
--- a/src/load/client.rs
+++ b/src/load/client.rs
@@ -13,7 +13,7 @@
 
 /// A request of a caller.
 #[derive(Debug, Clone)]
-pub struct Ask {
+pub struct Caller {
     /// Address of the instance.
     pub addr: String,
     /// Bearer token.
@@ -28,7 +28,7 @@
 
 /// An answer as the caller saw it. Times are milliseconds since the request was sent.
 #[derive(Debug, Clone, Default)]
-pub struct Got {
+pub struct Response {
     /// HTTP status.
     pub status: u16,
     /// Request id.
@@ -51,7 +51,7 @@
     pub ran: String,
 }
 
-impl Ask {
+impl Caller {
     /// An ask of the default class with no key.
     pub fn new(addr: &str, token: &str) -> Self {
         Self {
@@ -97,7 +97,7 @@
     }
 
     /// Sends a request and reads the whole answer.
-    pub fn send(&self, method: &str, path: &str, body: &[u8]) -> Result<Got, Fault> {
+    pub fn send(&self, method: &str, path: &str, body: &[u8]) -> Result<Response, Fault> {
         let start = Instant::now();
         let watch = Watch::new(SILENCE, TOTAL, Box::new(|| false));
         let headers = self.all_headers();
@@ -107,21 +107,21 @@
         let id = answer.header("x-request-id").unwrap_or("").to_owned();
         let text = String::from_utf8_lossy(&answer.whole()?).into_owned();
         let took = ms(start);
-        let mut got = Got {
+        let mut got = Response {
             status,
             id,
             text,
             first: took,
             last: took,
             whole: status < 400,
-            ..Got::default()
+            ..Response::default()
         };
         got.read_error();
         Ok(got)
     }
 
     /// Sends a chat and reads its stream.
-    pub fn stream(&self, model: &str, prompt: &str, max: u64) -> Result<Got, Fault> {
+    pub fn stream(&self, model: &str, prompt: &str, max: u64) -> Result<Response, Fault> {
         let start = Instant::now();
         let watch = Watch::new(SILENCE, TOTAL, Box::new(|| false));
         let headers = self.all_headers();
@@ -131,7 +131,7 @@
         let call = Call { addr: &self.addr, method: "POST", path, headers: &headers, body };
         let mut answer = endpoint::call(&call, &watch)?;
         let id = answer.header("x-request-id").unwrap_or("").to_owned();
-        let mut got = Got { status: answer.status, id, ..Got::default() };
+        let mut got = Response { status: answer.status, id, ..Response::default() };
         if got.status != 200 {
             got.text = String::from_utf8_lossy(&answer.whole()?).into_owned();
             got.first = ms(start);
@@ -160,7 +160,7 @@
     }
 }
 
-impl Got {
+impl Response {
     fn token(&mut self, at: f64, text: &str) {
         if self.tokens == 0 {
             self.first = at;
--- a/src/load/demo.rs
+++ b/src/load/demo.rs
@@ -5,7 +5,7 @@
 
 use serde_json::Value;
 
-use super::client::{Ask, chat};
+use super::client::{Caller, chat};
 use crate::adapter::clock::Clock;
 use crate::adapter::http::Client;
 use crate::standin::engine;
@@ -73,7 +73,7 @@
 
     fn layout(&self) -> Step {
         let prompt = "collection spine layout for twelve atlases len=60";
-        let ask = Ask::new(ENTRIES[0], "recife-secret");
+        let ask = Caller::new(ENTRIES[0], "recife-secret");
         let got = ask.stream("spine-1", prompt, 500).map_err(|e| e.to_string())?;
         same(&got.text, &engine::answer(prompt, 500), got.whole)?;
         Ok(format!("{} tokens, the first after {:.0} ms", got.tokens, got.first))
@@ -82,7 +82,7 @@
     fn title(&self) -> Step {
         let prompt = "is `Grande Sertao` 4711 or 4712? len=12";
         let body = chat("spine-1", prompt, 100, false).to_string();
-        let ask = Ask::new(ENTRIES[1], "olinda-secret").class("title-check");
+        let ask = Caller::new(ENTRIES[1], "olinda-secret").class("title-check");
         let got = ask.send("POST", "/v1/chat/completions", body.as_bytes());
         let got = got.map_err(|e| e.to_string())?;
         let text = got.json()["choices"][0]["message"]["content"].as_str().unwrap_or("").to_owned();
@@ -91,7 +91,7 @@
     }
 
     fn stock(&self) -> Step {
-        let ask = Ask::new(ENTRIES[2], "recife-secret");
+        let ask = Caller::new(ENTRIES[2], "recife-secret");
         let got =
             ask.send("GET", "/svc/orders/stock?title=4711", b"").map_err(|e| e.to_string())?;
         if got.status != 200 || got.json()["query"] != "title=4711" {
@@ -103,7 +103,7 @@
     fn booking(&self) -> Step {
         let key = uuid::Uuid::now_v7().to_string();
         let send = |addr: &str| {
-            let ask = Ask::new(addr, "praha-secret").key(&key).header("x-operation", &key);
+            let ask = Caller::new(addr, "praha-secret").key(&key).header("x-operation", &key);
             ask.send("POST", "/svc/orders/bookings", b"{\"crew\":7}").map_err(|e| e.to_string())
         };
         let (one, two) = thread::scope(|s| {
@@ -127,7 +127,7 @@
         let prompt = "long site assessment of the square len=150";
         let got = thread::scope(|s| {
             let asked = s.spawn(|| {
-                let ask = Ask::new(ENTRIES[2], "praha-secret").class("chat");
+                let ask = Caller::new(ENTRIES[2], "praha-secret").class("chat");
                 ask.stream("assist-1", prompt, 500)
             });
             self.clock.sleep(1_000);
@@ -154,7 +154,7 @@
         self.post("/list?name=orders-1&phase=leaving")?;
         self.clock.sleep(LEAVE);
         for i in 0..30 {
-            let ask = Ask::new(ENTRIES[i % 3], "recife-secret");
+            let ask = Caller::new(ENTRIES[i % 3], "recife-secret");
             let got = ask.send("GET", "/svc/orders/stock", b"").map_err(|e| e.to_string())?;
             if got.json()["by"] == "orders-1" {
                 return Err("orders-1 still gets work".to_owned());
--- a/src/load/model.rs
+++ b/src/load/model.rs
@@ -109,7 +109,7 @@
                 let mut pool = Pool::new(*id, &domain, strategy, scenario.seed.wrapping_add(*id));
                 pool.configure(&classes, limits.clone());
                 pool.members(&members, scenario.slots);
-                pool.mates(&ids);
+                pool.set_peers(&ids);
                 ids.iter().for_each(|peer| pool.peer(0, *peer, Load::default()));
                 pool
             })
--- a/src/load/open.rs
+++ b/src/load/open.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use serde_json::Value;
 
-use super::client::{Ask, Got};
+use super::client::{Caller, Response};
 use super::scenario::{Arrival, Scenario};
 use super::tally::{Ending, Tally};
 use crate::adapter::clock::Clock;
@@ -66,17 +66,17 @@
     tally
 }
 
-fn send(scenario: &Scenario, target: &Target, arrival: &Arrival, n: usize) -> Got {
+fn send(scenario: &Scenario, target: &Target, arrival: &Arrival, n: usize) -> Response {
     let stream = &scenario.streams[arrival.stream];
     let entry = target.entries[arrival.instance % target.entries.len()];
     let token = target.tokens.get(&stream.workspace).map_or("", String::as_str);
-    let ask = Ask::new(&entry.to_string(), token).class(&stream.class);
+    let ask = Caller::new(&entry.to_string(), token).class(&stream.class);
     let words = "word ".repeat(stream.words as usize);
     let prompt = format!("start {} {words} len={} request {n}", arrival.prefix, arrival.tokens);
     ask.stream("spine-1", &prompt, arrival.tokens).unwrap_or_default()
 }
 
-fn note(scenario: &Scenario, fleet: &Fleet, arrival: &Arrival, got: &Got, tally: &mut Tally) {
+fn note(scenario: &Scenario, fleet: &Fleet, arrival: &Arrival, got: &Response, tally: &mut Tally) {
     let stream = &scenario.streams[arrival.stream];
     let params = fleet.params(&stream.class, &stream.workspace, "", 0).0;
     tally.offer(&stream.class);
@@ -109,7 +109,7 @@
 pub fn keys(target: &Target, rate: u64, seconds: u64, bare: bool) -> Cost {
     let clock = Clock::system();
     let before = totals(target.control).1;
-    let all: Mutex<Vec<Got>> = Mutex::new(Vec::new());
+    let all: Mutex<Vec<Response>> = Mutex::new(Vec::new());
     let start = clock.now();
     let token = target.tokens.values().next().cloned().unwrap_or_default();
     thread::scope(|scope| {
@@ -117,7 +117,7 @@
             clock.sleep((start + n * 1_000 / rate).saturating_sub(clock.now()));
             let entry = target.entries[n as usize % target.entries.len()];
             let key = uuid::Uuid::now_v7().to_string();
-            let mut ask = Ask::new(&entry.to_string(), &token).header("x-operation", &key);
+            let mut ask = Caller::new(&entry.to_string(), &token).header("x-operation", &key);
             if !bare {
                 ask = ask.key(&key);
             }
@@ -136,7 +136,7 @@
     let got = all.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner);
     let mut times = Histogram::new_with_max(3_600_000, 3)
         .unwrap_or_else(|_| unreachable!("constant histogram bounds"));
-    let good: Vec<&Got> = got.iter().filter(|g| g.status == 200).collect();
+    let good: Vec<&Response> = got.iter().filter(|g| g.status == 200).collect();
     good.iter().for_each(|g| times.saturating_record(g.last as u64));
     Cost {
         sent: rate * seconds,
--- a/src/policy/claim.rs
+++ b/src/policy/claim.rs
@@ -163,7 +163,7 @@
 
 /// What the caller of a key is to get, as far as the table tells.
 #[derive(Debug, Clone, PartialEq)]
-pub enum Seat {
+pub enum Position {
     /// Nobody holds the key.
     Free,
     /// This claim holds it and may send, once.
@@ -176,12 +176,12 @@
 
 impl Table {
     /// Looks up where the claim `nonce` for a request with this digest stands.
-    pub fn seat(&self, key: Key, nonce: Uuid, digest: u64, now: Millis) -> Seat {
+    pub fn position(&self, key: Key, nonce: Uuid, digest: u64, now: Millis) -> Position {
         match self.holder(key, now) {
-            None => Seat::Free,
-            Some(h) if h.nonce == nonce => Seat::First,
-            Some(h) if h.digest != digest => Seat::Mismatch,
-            Some(h) => Seat::Behind(h.clone()),
+            None => Position::Free,
+            Some(h) if h.nonce == nonce => Position::First,
+            Some(h) if h.digest != digest => Position::Mismatch,
+            Some(h) => Position::Behind(h.clone()),
         }
     }
 }
--- a/src/policy/pool/mod.rs
+++ b/src/policy/pool/mod.rs
@@ -296,8 +296,8 @@
     fn expected_wait(&self, now: Millis, job: &Job) -> f64 {
         let ahead = f64::from(self.queue.len(&job.class));
         let each = self.lengths.of_class(&job.class);
-        let lanes = f64::from(self.room(&self.quota(now), &job.class).max(1));
-        each * ahead / lanes
+        let admissions = f64::from(self.room(&self.quota(now), &job.class).max(1));
+        each * ahead / admissions
     }
 
     /// Slots that a class may fill on this instance.
@@ -400,12 +400,12 @@
             return Step::Wait;
         }
         let quota = self.quota(now);
-        for (class, lane) in self.lanes(&quota) {
+        for (class, admission) in self.admissions(&quota) {
             let Some(job) = self.best(now, &class) else {
                 continue;
             };
-            let (id, priority) = (job.id, self.priority(&class, lane));
-            let Some((name, weighed)) = self.choose(now, &job, lane) else {
+            let (id, priority) = (job.id, self.priority(&class, admission));
+            let Some((name, weighed)) = self.choose(now, &job, admission) else {
                 continue;
             };
             return self.grant(now, id, &name, priority, weighed);
@@ -419,10 +419,10 @@
         ranked.into_iter().find(|j| !self.limited(now, &j.workspace)).cloned()
     }
 
-    fn priority(&self, class: &str, lane: Lane) -> u8 {
-        match lane {
-            Lane::Floor => TOP_PRIORITY,
-            Lane::Quota | Lane::Over => self.classes[class].tier,
+    fn priority(&self, class: &str, admission: Admission) -> u8 {
+        match admission {
+            Admission::Floor => TOP_PRIORITY,
+            Admission::Quota | Admission::Over => self.classes[class].tier,
         }
     }
 
@@ -433,32 +433,32 @@
     }
 
     /// Classes that may start a job now, the most urgent first.
-    fn lanes(&self, quota: &Quota) -> Vec<(String, Lane)> {
+    fn admissions(&self, quota: &Quota) -> Vec<(String, Admission)> {
         let part = |map: &IndexMap<String, u32>, class: &str| map.get(class).copied().unwrap_or(0);
         let excess =
             |class: &String| self.running_of(class).saturating_sub(part(&quota.slots, class));
         let spare_used: u32 = self.rules.keys().map(excess).sum();
-        let mut lanes = Vec::new();
+        let mut admissions = Vec::new();
         for class in self.rules.keys() {
             if self.queue.len(class) == 0 {
                 continue;
             }
             let running = self.running_of(class);
-            let lane = if running < part(&quota.floor, class) {
-                Lane::Floor
+            let admission = if running < part(&quota.floor, class) {
+                Admission::Floor
             } else if running < part(&quota.slots, class) || spare_used < quota.spare {
-                Lane::Quota
+                Admission::Quota
             } else if self.may_push(class) {
-                Lane::Over
+                Admission::Over
             } else {
                 continue;
             };
-            lanes.push((class.clone(), lane));
+            admissions.push((class.clone(), admission));
         }
-        lanes.sort_by_cached_key(|(class, lane)| {
-            (*lane == Lane::Over, self.rules[class].tier, self.queue.urgency(class))
+        admissions.sort_by_cached_key(|(class, admission)| {
+            (*admission == Admission::Over, self.rules[class].tier, self.queue.urgency(class))
         });
-        lanes
+        admissions
     }
 
     fn grant(
@@ -494,7 +494,7 @@
 
 /// On what ground a class may start one more job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Lane {
+enum Admission {
     /// Its guaranteed share is not filled.
     Floor,
     /// Its part of the slots is not filled.
@@ -503,7 +503,7 @@
     Over,
 }
 
-impl Lane {
+impl Admission {
     /// Load up to which an endpoint of `slots` takes a job on this ground. Urgent jobs make the
     /// engine preempt patient ones, so a full batch doesn't hold them up.
     fn cap(self, slots: u32, urgent: bool) -> u32 {
--- a/src/policy/pool/pace.rs
+++ b/src/policy/pool/pace.rs
@@ -39,7 +39,7 @@
 
     /// True when a peer knows the endpoint to be slow still, or is finding out.
     pub(super) fn held_off(&self, now: Millis, endpoint: &str) -> bool {
-        self.heard(now).any(|p| match p.load.slow.get(endpoint) {
+        self.fresh_peers(now).any(|p| match p.load.slow.get(endpoint) {
             Some(Out::Probing) => true,
             Some(Out::Until(until)) => *until > now,
             None => false,
@@ -48,7 +48,7 @@
 
     /// Average token gap of an endpoint, by own and peers' streams.
     pub(super) fn speed(&self, now: Millis, e: &Endpoint) -> Option<f64> {
-        let peers = self.heard(now).filter_map(|p| p.load.paces.get(&e.name).copied());
+        let peers = self.fresh_peers(now).filter_map(|p| p.load.paces.get(&e.name).copied());
         let all: Vec<f64> = e.speed().into_iter().chain(peers).collect();
         (!all.is_empty()).then(|| all.iter().sum::<f64>() / all.len() as f64)
     }
--- a/src/policy/pool/pick.rs
+++ b/src/policy/pool/pick.rs
@@ -4,7 +4,7 @@
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Lane, Peer, Pool, Weighed};
+use super::{Admission, Peer, Pool, Weighed};
 use crate::adapter::clock::Millis;
 use crate::mechanism::{self, Mechanism};
 use crate::policy::Job;
@@ -39,9 +39,9 @@
         &mut self,
         now: Millis,
         job: &Job,
-        lane: Lane,
+        admission: Admission,
     ) -> Option<(String, Weighed)> {
-        let open = self.usable(now, job, lane);
+        let open = self.usable(now, job, admission);
         if open.is_empty() {
             return None;
         }
@@ -67,10 +67,10 @@
     }
 
     /// Endpoints that may take the job, with their loads and costs.
-    fn usable(&self, now: Millis, job: &Job, lane: Lane) -> Vec<Candidate> {
-        let whole = self.silent(now) == 0;
+    fn usable(&self, now: Millis, job: &Job, admission: Admission) -> Vec<Candidate> {
+        let whole = self.silent_peers(now) == 0;
         let mut peers: IndexMap<&str, u32> = IndexMap::new();
-        for (name, n) in self.heard(now).flat_map(|p| &p.load.endpoints) {
+        for (name, n) in self.fresh_peers(now).flat_map(|p| &p.load.endpoints) {
             *peers.entry(name).or_default() += n;
         }
         let all_silent = self.endpoints.values().all(|e| e.silent(now));
@@ -93,7 +93,7 @@
         let mut open: Vec<Candidate> = Vec::new();
         for e in self.endpoints.values().filter(fits) {
             let load = e.load(peers.get(e.name.as_str()).copied().unwrap_or(0), whole);
-            if load >= lane.cap(e.slots, urgent) {
+            if load >= admission.cap(e.slots, urgent) {
                 continue;
             }
             let filled = f64::from(load + 1) / f64::from(e.slots);
@@ -127,6 +127,6 @@
         owner != self.me
             || (ids.len() > 1 && now % SUSPECT_TURN < SUSPECT_GUARD)
             || e.suspects > 0
-            || self.heard(now).any(placed)
+            || self.fresh_peers(now).any(placed)
     }
 }
--- a/src/policy/pool/view.rs
+++ b/src/policy/pool/view.rs
@@ -11,7 +11,7 @@
 
 impl Pool {
     /// Sets which instances share the service, by number; the own one may be among them.
-    pub fn mates(&mut self, listed: &[u64]) {
+    pub fn set_peers(&mut self, listed: &[u64]) {
         let me = self.me;
         self.peers.retain(|id, _| listed.contains(id));
         for id in listed.iter().filter(|id| **id != me) {
@@ -31,25 +31,25 @@
         self.peers.swap_remove(&id);
     }
 
-    pub(super) fn heard(&self, now: Millis) -> impl Iterator<Item = &Peer> {
+    pub(super) fn fresh_peers(&self, now: Millis) -> impl Iterator<Item = &Peer> {
         let fresh = move |p: &&Peer| now.saturating_sub(p.at) <= PEER_MAX_AGE;
         self.peers.values().flatten().filter(fresh)
     }
 
     /// Peers whose last word is not too old to count.
-    pub(super) fn remembered(&self, now: Millis) -> impl Iterator<Item = (u64, &Peer)> {
+    pub(super) fn recent_peers(&self, now: Millis) -> impl Iterator<Item = (u64, &Peer)> {
         let fresh = move |p: &&Peer| now.saturating_sub(p.at) <= WORD_MEMORY;
         self.peers.iter().filter_map(move |(id, p)| p.as_ref().filter(fresh).map(|p| (*id, p)))
     }
 
     /// Number of peers of whom nothing is known.
-    pub(super) fn unknown(&self, now: Millis) -> u32 {
-        (self.peers.len() - self.remembered(now).count()) as u32
+    pub(super) fn unknown_peers(&self, now: Millis) -> u32 {
+        (self.peers.len() - self.recent_peers(now).count()) as u32
     }
 
     /// Number of peers that are silent.
-    pub fn silent(&self, now: Millis) -> usize {
-        self.peers.len() - self.heard(now).count()
+    pub fn silent_peers(&self, now: Millis) -> usize {
+        self.peers.len() - self.fresh_peers(now).count()
     }
 
     /// The own word for the peers.
@@ -88,7 +88,7 @@
     }
 
     pub(super) fn peer_work(&self, now: Millis, endpoint: &str) -> u32 {
-        self.heard(now).map(|p| p.load.endpoints.get(endpoint).copied().unwrap_or(0)).sum()
+        self.fresh_peers(now).map(|p| p.load.endpoints.get(endpoint).copied().unwrap_or(0)).sum()
     }
 
     /// Own part of the service's slots. A silent peer's demand counts as it last was; after a
@@ -98,9 +98,9 @@
         if !mechanism::on(Mechanism::Shares) {
             return Quota { spare: all, ..Quota::default() };
         }
-        let reserve = all * self.unknown(now) / (self.peers.len() as u32 + 1);
+        let reserve = all * self.unknown_peers(now) / (self.peers.len() as u32 + 1);
         let mut demand: Vec<(u64, Demand)> = vec![(self.me, self.demand())];
-        for (id, peer) in self.remembered(now) {
+        for (id, peer) in self.recent_peers(now) {
             let sums = peer.load.classes.iter().map(|(c, (run, wait))| (c.clone(), run + wait));
             demand.push((id, sums.collect()));
         }
@@ -120,9 +120,11 @@
         let Some(limit) = self.limits.get(workspace).copied().filter(|n| *n > 0) else {
             return false;
         };
-        let others: u32 =
-            self.heard(now).map(|p| p.load.workspaces.get(workspace).copied().unwrap_or(0)).sum();
-        let silent = self.silent(now) as u32;
+        let others: u32 = self
+            .fresh_peers(now)
+            .map(|p| p.load.workspaces.get(workspace).copied().unwrap_or(0))
+            .sum();
+        let silent = self.silent_peers(now) as u32;
         let own = limit - limit * silent / (self.peers.len() as u32 + 1);
         self.running_for(workspace) + others >= own.max(1)
     }
@@ -131,8 +133,8 @@
     pub(super) fn bound(&self, now: Millis, class: &str, queue: u32) -> u32 {
         let part = queue / (self.peers.len() as u32 + 1);
         let waiting = |p: &Peer| p.load.classes.get(class).map_or(0, |(_, wait)| *wait);
-        let known: u32 = self.remembered(now).map(|(_, p)| waiting(p)).sum();
-        let others = known + part * self.unknown(now);
+        let known: u32 = self.recent_peers(now).map(|(_, p)| waiting(p)).sum();
+        let others = known + part * self.unknown_peers(now);
         queue.saturating_sub(others).max(part).max(1)
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use sassafrasworks::adapter::clock::Clock;
 use sassafrasworks::adapter::http::Client;
 use sassafrasworks::config::fleet::token_hash;
-use sassafrasworks::load::client::{Ask, Got};
+use sassafrasworks::load::client::{Caller, Response};
 use sassafrasworks::standin::engine::EngineStandin;
 use sassafrasworks::standin::log::LogStandin;
 use sassafrasworks::standin::plain::PlainStandin;
@@ -192,8 +192,8 @@
         self.child.as_mut().unwrap().try_wait().unwrap().map(|s| s.code().unwrap_or(-1))
     }
 
-    pub fn ask(&self) -> Ask {
-        Ask::new(&self.listen.to_string(), TOKEN)
+    pub fn ask(&self) -> Caller {
+        Caller::new(&self.listen.to_string(), TOKEN)
     }
 
     pub fn status(&self) -> Option<Value> {
@@ -359,7 +359,7 @@
     }
 
     /// Sends a booking with a key through an instance. A call that breaks has no status.
-    pub fn book(&self, entry: usize, key: &str) -> Got {
+    pub fn book(&self, entry: usize, key: &str) -> Response {
         let ask = self.entries[entry].ask().key(key).header("x-operation", key);
         ask.send("POST", "/svc/orders/bookings", b"{\"crew\":7}").unwrap_or_default()
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -10,13 +10,13 @@
 
 use common::{Instance, Rig, Shape, pass, until, until_within};
 use sassafrasworks::adapter::list::Phase;
-use sassafrasworks::load::client::{Got, chat};
+use sassafrasworks::load::client::{Response, chat};
 use sassafrasworks::standin::{engine, log, proxy};
 
 /// Bound on the time until an endpoint that leaves gets no new work.
 const LEAVE: u64 = 5_000;
 
-fn lookup(entry: &Instance) -> Got {
+fn lookup(entry: &Instance) -> Response {
     entry.ask().send("GET", "/svc/orders/stock", b"").unwrap_or_default()
 }
 
@@ -122,7 +122,7 @@
             .collect();
         until("innocents run", || rig.world.engines.values().any(|e| e.running() > 0));
         // The caller sends it again and again, each time through another instance.
-        let mut last = Got::default();
+        let mut last = Response::default();
         for i in 0..9 {
             last = rig.entries[i % 3].ask().stream("spine-1", "poison len=9", 99).unwrap();
             assert_ne!(last.status, 200, "{last:?}");
@@ -193,7 +193,7 @@
     rig.world.list.as_ref().unwrap().set_phase("orders-1", Phase::Leaving);
     rig.plain("orders-1").set_draining(how.by_report);
     pass(LEAVE);
-    let served = |got: &Got| got.json()["by"] == "orders-1";
+    let served = |got: &Response| got.json()["by"] == "orders-1";
     for i in 0..30 {
         let got = lookup(&rig.entries[i % 3]);
         assert_eq!(got.status, 200, "{got:?}");
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sassafrasworks::adapter::list::{Instance, Phase, Role};
-use sassafrasworks::load::client::Got;
+use sassafrasworks::load::client::Response;
 use sassafrasworks::standin::{log, proxy};
 use uuid::Uuid;
 
@@ -27,7 +27,7 @@
     let rig = Rig::start(&Shape::default());
     for _ in 0..20 {
         let key = key();
-        let all: Vec<Got> = thread::scope(|s| {
+        let all: Vec<Response> = thread::scope(|s| {
             let sent: Vec<_> = (0..6)
                 .map(|i| {
                     s.spawn({
@@ -191,7 +191,7 @@
     rig.log().set_fault(log::Fault::Lost);
     let keys: Vec<String> = (0..10).map(|_| key()).collect();
     for key in &keys {
-        let got: Vec<Got> = thread::scope(|s| {
+        let got: Vec<Response> = thread::scope(|s| {
             let (one, two) = (s.spawn(|| rig.book(0, key)), s.spawn(|| rig.book(1, key)));
             vec![one.join().unwrap(), two.join().unwrap()]
         });
@@ -300,7 +300,7 @@
         let keys: Vec<String> = (0..4).map(|_| key()).collect();
         let sends: Vec<(usize, usize)> =
             (0..8).map(|i| (i % 4, rng.random_range(0..3usize))).collect();
-        let got: Vec<(usize, Got)> = thread::scope(|s| {
+        let got: Vec<(usize, Response)> = thread::scope(|s| {
             let sent: Vec<_> = sends
                 .iter()
                 .map(|(k, entry)| {
@@ -315,8 +315,9 @@
         for (k, key) in keys.iter().enumerate() {
             let count = rig.count(key);
             assert!(count <= 1, "round {round}, fault {fault}: {key} ran {count} times");
-            let mine: Vec<&Got> = got.iter().filter(|(i, _)| *i == k).map(|(_, g)| g).collect();
-            let whole: Vec<&&Got> = mine.iter().filter(|g| g.status == 200).collect();
+            let mine: Vec<&Response> =
+                got.iter().filter(|(i, _)| *i == k).map(|(_, g)| g).collect();
+            let whole: Vec<&&Response> = mine.iter().filter(|g| g.status == 200).collect();
             assert!(whole.is_empty() || count == 1, "round {round}: {mine:?}");
             assert!(whole.iter().all(|g| g.text == whole[0].text), "round {round}: {mine:?}");
             if mine.iter().all(|g| g.ran == "no") {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -8,10 +8,10 @@
 use proptest::test_runner::{Config, RngSeed};
 use sassafrasworks::adapter::clock::Clock;
 use sassafrasworks::config::{Fleet, Strategy as Policy};
-use sassafrasworks::entry::hall::{Hall, Waited};
+use sassafrasworks::entry::dispatch::{Dispatcher, Waited};
 use sassafrasworks::load::model::{Model, Setup};
 use sassafrasworks::load::scenario::Scenario;
-use sassafrasworks::policy::claim::{Claim, Op, Seat, Table};
+use sassafrasworks::policy::claim::{Claim, Op, Position, Table};
 use sassafrasworks::policy::endpoint::{Health, Report};
 use sassafrasworks::policy::pool::{Arrival, Grant, Load, Outcome, Pool, Step};
 use sassafrasworks::policy::share::{Demand, Rule, divide};
@@ -32,12 +32,12 @@
     Fleet::parse("fleet.ini", &common::document(0, "ines", "")).unwrap()
 }
 
-fn pool(endpoints: usize, mates: u64) -> Pool {
+fn pool(endpoints: usize, set_peers: u64) -> Pool {
     let mut pool = Pool::new(0, "recife", Policy::Ours, 7);
     pool.configure(&fleet().classes, IndexMap::new());
     let row = |i| (format!("engine-{i}"), String::new(), "recife".to_owned(), false);
     pool.members(&(0..endpoints).map(row).collect::<Vec<_>>(), 4);
-    pool.mates(&(0..mates).collect::<Vec<_>>());
+    pool.set_peers(&(0..set_peers).collect::<Vec<_>>());
     pool
 }
 
@@ -213,7 +213,7 @@
                 }
             }
             for n in 0..4 {
-                let first = table.seat(key, Uuid::from_u128(n), digest, at as u64) == Seat::First;
+                let first = table.position(key, Uuid::from_u128(n), digest, at as u64) == Position::First;
                 prop_assert_eq!(first, holder == Some(n));
             }
         }
@@ -226,7 +226,7 @@
     let mut classes = fleet().classes;
     classes["chat"].params.queue = 10;
     pool.configure(&classes, IndexMap::new());
-    pool.mates(&[0]);
+    pool.set_peers(&[0]);
     for id in 1..=10 {
         assert_eq!(pool.arrive(0, job(id, "chat", 0)), Arrival::Queued);
     }
@@ -282,13 +282,13 @@
 #[test]
 fn caller_may_hang_up_as_its_request_is_refused() {
     let clock = Clock::manual(0);
-    let hall = Hall::new("spine", 0, "recife", Policy::Ours, 7);
-    hall.with(0, |pool| pool.configure(&fleet().classes, IndexMap::new()));
+    let dispatcher = Dispatcher::new("spine", 0, "recife", Policy::Ours, 7);
+    dispatcher.with(0, |pool| pool.configure(&fleet().classes, IndexMap::new()));
     let refused_then_gone = || {
-        hall.tick(61_000);
+        dispatcher.tick(61_000);
         true
     };
-    let waited = hall.wait(&clock, job(1, "chat", 0), &refused_then_gone);
+    let waited = dispatcher.wait(&clock, job(1, "chat", 0), &refused_then_gone);
     assert!(matches!(waited, Waited::Unwanted));
 }
 
@@ -391,7 +391,7 @@
     two.configure(&fleet().classes, IndexMap::new());
     let row = |i| (format!("engine-{i}"), String::new(), "recife".to_owned(), false);
     two.members(&(0..6).map(row).collect::<Vec<_>>(), 4);
-    two.mates(&[0, 1]);
+    two.set_peers(&[0, 1]);
     let mut used: IndexMap<String, u32> = IndexMap::new();
     for round in 0..40u64 {
         let now = round * 250;
