Hold issued keys to their home and to the window, for chats too

Found by reading: a chat with an issued key that came to another instance was taken as that instance's own key and ran there as well; and an issued key was never too old, so a resend after the window found no memory of it and ran again. Proof: keyed_chat_runs_once_through_two_instances and key_rules_are_told were red before (answers of two runs; no key_expired), green now. Change: the hand-over to the issuing instance has a module of its own, used by chats and calls; the age of an issued key is read from its end.

--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -96,6 +96,11 @@
     let class = context.class(&default)?;
     let order = context.order(service, &class, chat.content, chat.prefix);
     let key = if order.once { context.key(service)? } else { None };
+    if let Some((text, _)) = &key
+        && context.entry.pass_home(text, &context, reply)?
+    {
+        return Ok(());
+    }
     let digest = context.digest();
     let trace = std::mem::take(&mut context.trace);
     let mut session = Session {
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -37,6 +37,9 @@
 /// Start of a key that this fleet issued.
 pub const HOME: &str = "home-";
 
+/// Length of a UUID as text.
+pub const UUID_LEN: usize = 36;
+
 /// What a request with a key came to.
 pub type Ended = Result<Answer, Failure>;
 
@@ -217,7 +220,7 @@
         note: &mut String,
         send: impl FnOnce() -> Sent,
     ) -> Ended {
-        match key_age(keyed.text, self.now(), self.claim_window()) {
+        match key_age(stamp_of(keyed.text), self.now(), self.claim_window()) {
             KeyAge::Usable => {}
             KeyAge::Ahead => {
                 let text = "the idempotency key was made in the future";
@@ -327,7 +330,10 @@
             let nonce = Uuid::new_v4();
             let failure = match self.claim_key(keyed, nonce) {
                 ClaimResult::First { at } => {
-                    *note = format!("first on the log, {} ms after the claim", self.log_now() - at);
+                    *note = format!(
+                        "first on the log, {} ms after the claim",
+                        self.log_now().saturating_sub(at)
+                    );
                     let sent = send();
                     self.journal.settle(record(keyed.key, nonce, &sent));
                     return self.settle(local, sent);
@@ -521,6 +527,12 @@
     Free,
 }
 
+/// Part of a key that may tell its age: the end of an issued key, else all of it.
+fn stamp_of(key: &str) -> &str {
+    let uuid = key.strip_prefix(HOME).and_then(|_| key.len().checked_sub(UUID_LEN));
+    uuid.and_then(|at| key.get(at..)).unwrap_or(key)
+}
+
 /// Where a claim stands.
 enum ClaimResult {
     First { at: Millis },
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,6 +9,7 @@
 pub mod follow;
 pub mod front;
 pub mod gossip;
+pub mod home;
 pub mod journal;
 pub mod keyed;
 pub mod members;
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -2,13 +2,13 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::Entry;
 use super::attempt::{Order, Run, Tried};
 use super::fail::Failure;
 use super::front::{CLASS, Context, HOP, KEY};
-use super::keyed::{HOME, Keyed, Sent};
+use super::keyed::{Keyed, Sent};
 use super::trace::Trace;
-use super::{Entry, gossip};
-use crate::adapter::endpoint::{self, Call, Fault, Watch};
+use crate::adapter::endpoint::{self, Call, Watch};
 use crate::adapter::serve::{Reply, Request};
 use crate::config::Kind;
 use crate::policy::claim::Answer;
@@ -18,7 +18,7 @@
 /// Shortest time that a request which must not run twice is given, in milliseconds.
 const ONCE_LIMIT: u64 = 60_000;
 /// Headers that end at each hop.
-const HOP_HEADERS: [&str; 10] = [
+pub(super) const HOP_HEADERS: [&str; 10] = [
     "connection",
     "keep-alive",
     "proxy-authenticate",
@@ -52,9 +52,8 @@
     let key = if order.once { context.key(name)? } else { None };
     let entry = context.entry;
     if let Some((text, _)) = &key
-        && let Some(answer) = entry.pass_home(text, &context.request)?
+        && entry.pass_home(text, &context, reply)?
     {
-        context.send(&answer, reply);
         return Ok(());
     }
     let mut trace = std::mem::take(&mut context.trace);
@@ -146,58 +145,10 @@
             Err(fault) => Tried::Failed { fault, sent: watch.sent(), from: 0 },
         }
     }
-
-    /// Passes a request whose key another instance has issued on to that instance.
-    fn pass_home(&self, key: &str, request: &Request) -> Result<Option<Answer>, Failure> {
-        let Some(rest) = key.strip_prefix(HOME) else {
-            return Ok(None);
-        };
-        const BOOT_LEN: usize = 36;
-        let boot = rest.get(..BOOT_LEN).and_then(|b| uuid::Uuid::parse_str(b).ok());
-        let Some(boot) = boot else {
-            let text = format!("a key that begins with `{HOME}` must be one that was issued");
-            return Err(Failure::not_run(400, "bad_key", text));
-        };
-        if boot == self.boot {
-            return Ok(None);
-        }
-        let gone = || {
-            let text = "the instance that issued this key can't be reached";
-            Failure::unknown(409, "key_home_gone", text)
-        };
-        if request.header(HOP).is_some() {
-            return Err(gone());
-        }
-        let row = gossip::row_of(self, boot).ok_or_else(gone)?;
-        let mut headers: Vec<(String, String)> = request
-            .headers
-            .iter()
-            .filter(|(n, _)| !HOP_HEADERS.contains(&n.as_str()))
-            .cloned()
-            .collect();
-        headers.push((HOP.to_owned(), self.settings.name.clone()));
-        let path = format!("{}?{}", request.path, request.query);
-        let call = Call {
-            addr: &row.addr,
-            method: &request.method,
-            path: &path,
-            headers: &headers,
-            body: &request.body,
-        };
-        let watch = Watch::new(ONCE_LIMIT, ONCE_LIMIT, Box::new(|| false));
-        let passed_on = endpoint::call(&call, &watch).and_then(|a| {
-            let (status, headers) = (a.status, a.headers.clone());
-            a.whole().map(|body| Answer { status, headers: passed(headers), body })
-        });
-        passed_on.map(Some).map_err(|fault: Fault| {
-            tracing::warn!("keyed: the home of a key failed: {fault}.");
-            gone()
-        })
-    }
 }
 
 /// Headers of an answer that go on to the caller.
-fn passed(headers: Vec<(String, String)>) -> Vec<(String, String)> {
+pub(super) fn passed(headers: Vec<(String, String)>) -> Vec<(String, String)> {
     let ends = |n: &str| HOP_HEADERS.contains(&n) || n == "x-request-id" || n == KEY;
     headers.into_iter().filter(|(n, _)| !ends(n)).collect()
 }
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sassafrasworks::adapter::list::{Instance, Phase, Role};
-use sassafrasworks::load::client::Response;
+use sassafrasworks::load::client::{Response, chat};
 use sassafrasworks::standin::{log, proxy};
 use uuid::Uuid;
 
@@ -170,6 +170,28 @@
     assert_eq!(rig.count(&lost), 0);
 }
 
+#[test]
+fn keyed_chat_runs_once_through_two_instances() {
+    let rig = Rig::start(&Shape::default());
+    let issued = rig.entries[0].ask().send("POST", "/v1/keys", b"").unwrap();
+    let issued = issued.json()["key"].as_str().unwrap().to_owned();
+    for (n, key) in [key(), issued].into_iter().enumerate() {
+        let body = chat("spine-1", &format!("order {n} len=6"), 99, false).to_string();
+        let got: Vec<Response> = (0..3)
+            .map(|i| {
+                let ask = rig.entries[i].ask().class("order").key(&key);
+                ask.send("POST", "/v1/chat/completions", body.as_bytes()).unwrap()
+            })
+            .collect();
+        for one in &got {
+            assert_eq!((one.status, &one.text), (200, &got[0].text), "{one:?}");
+        }
+        let started: u64 = rig.world.engines.values().map(|e| e.totals().started).sum();
+        assert_eq!(started, n as u64 + 1);
+    }
+    rig.unharmed();
+}
+
 #[test]
 fn not_run_is_not_said_when_a_dead_instance_may_have_run_it() {
     let mut rig = Rig::start(&Shape::default());
@@ -266,6 +288,11 @@
     assert_eq!((got.code.as_str(), got.ran.as_str()), ("key_expired", "unknown"));
     let ahead = Uuid::new_v7(uuid::Timestamp::from_unix(uuid::NoContext, 9_000_000_000, 0));
     assert_eq!(rig.book(0, &ahead.to_string()).code, "key_ahead");
+    // An issued key ends with the window too; its memory on the instance does not outlive it.
+    let boot = rig.entries[0].status().unwrap()["boot"].as_str().unwrap().to_owned();
+    let issued = format!("home-{boot}-{old}");
+    assert_eq!(rig.book(0, &issued).code, "key_expired");
+    assert_eq!(rig.count(&issued), 0);
     let key = key();
     assert_eq!(rig.book(0, &key).status, 200);
     let ask = rig.entries[0].ask().key(&key);
