--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -235,6 +235,24 @@
     assert_eq!(pool.arrive(0, job(12, "chat", 0)), Arrival::Refused(Refusal::QueueFull));
 }
 
+#[test]
+fn workspace_limit_holds_over_all_instances() {
+    let mut pool = pool(4, 2);
+    pool.configure(&fleet().classes, [("recife".to_owned(), 3)].into());
+    let peer = |n| Load { workspaces: [("recife".to_owned(), n)].into(), ..Load::default() };
+    pool.peer(0, 1, peer(2));
+    for id in 1..=3 {
+        pool.arrive(0, job(id, "chat", 0));
+    }
+    let first = grants(&mut pool, 0);
+    assert_eq!(first.len(), 1);
+    pool.peer(10, 1, peer(1));
+    assert_eq!(grants(&mut pool, 10).len(), 1);
+    // A silent peer keeps its part of the limit.
+    pool.done(5_000, first[0].job, Outcome::Good { gap: None });
+    assert_eq!(grants(&mut pool, 5_000).len(), 1);
+}
+
 #[test]
 fn urgent_work_goes_past_its_part() {
     let mut pool = pool(1, 2);
