Tell the later of two operators what is in force differently

Cause: a conflict named the version and its author, but not the difference. Change: publish lists each key that differs in force.

--- a/src/cmd/ctl/publish.rs
+++ b/src/cmd/ctl/publish.rs
@@ -10,7 +10,7 @@
 use crate::adapter::codec;
 use crate::adapter::log::Log;
 use crate::cmd::slurp;
-use crate::config::Fleet;
+use crate::config::{Fleet, diff};
 use crate::fleet::config::{self, Decided, Outcome, Record};
 
 const BRIEF: &str = "usage: sassafras-ctl publish FILE --log IP:PORT [--wait SECONDS]";
@@ -60,14 +60,14 @@
             if Instant::now() >= end {
                 return Err(self.unsettled(void, &e.to_string()));
             }
-            if let Some(decided) = self.find() {
-                return report(&decided);
+            if let Some(found) = self.find() {
+                return found.report();
             }
             Clock::system().sleep(PAUSE);
         }
         loop {
-            if let Some(decided) = self.find() {
-                return report(&decided);
+            if let Some(found) = self.find() {
+                return found.report();
             }
             if Instant::now() >= end {
                 return Err(self.unsettled(false, "its record was not found on the log"));
@@ -76,13 +76,14 @@
     }
 
     /// Looks for the own record on the log.
-    fn find(&self) -> Option<Decided> {
+    fn find(&self) -> Option<Found> {
         let (state, decided) = fold(&self.log).ok()?;
-        let found = decided.into_iter().find(|d| d.publish.id == self.id);
-        if found.is_none() {
+        let Some(decided) = decided.into_iter().find(|d| d.publish.id == self.id) else {
             await_more(&self.log, state.next()).ok();
-        }
-        found
+            return None;
+        };
+        let in_force = state.current().map_or(String::new(), |c| c.text.to_string());
+        Some(Found { decided, in_force })
     }
 
     fn unsettled(&self, void: bool, why: &str) -> Stop {
@@ -100,17 +101,31 @@
     text.parse().map(Some).map_err(|e| Stop::Usage(format!("--{name} {text}: {e}")))
 }
 
-fn report(decided: &Decided) -> Result<(), Stop> {
-    match &decided.outcome {
-        Outcome::Accepted { version } => {
-            println!("published: version {version} at offset {}", decided.offset);
-            Ok(())
+/// The own record as decided, and the document in force now.
+struct Found {
+    decided: Decided,
+    in_force: String,
+}
+
+impl Found {
+    fn report(&self) -> Result<(), Stop> {
+        let decided = &self.decided;
+        match &decided.outcome {
+            Outcome::Accepted { version } => {
+                println!("published: version {version} at offset {}", decided.offset);
+                Ok(())
+            }
+            Outcome::Conflict { version, author } => {
+                let mut text = format!(
+                    "conflict with version {version} by {author}: this was edited from version \
+                     {}; run `show`, repeat the edit and publish again",
+                    decided.publish.base
+                );
+                let changes = diff(&decided.publish.text, &self.in_force);
+                changes.iter().for_each(|c| text.push_str(&format!("\n  in force: {c}")));
+                Err(Stop::Conflict(text))
+            }
+            Outcome::Invalid { findings } => Err(Stop::Invalid(findings.clone())),
         }
-        Outcome::Conflict { version, author } => Err(Stop::Conflict(format!(
-            "conflict with version {version} by {author}: this was edited from version {}; \
-             run `show`, repeat the edit and publish again",
-            decided.publish.base
-        ))),
-        Outcome::Invalid { findings } => Err(Stop::Invalid(findings.clone())),
     }
 }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -329,7 +329,8 @@
 fn audit_tells_changes_key_by_key_and_conflicts() {
     let rig = Rig::start(&Shape { entries: 1, ..Shape::default() });
     rig.publish(&document(1, "ana", "").replace("deadline = 20s", "deadline = 21s")).unwrap();
-    rig.publish(&document(1, "rui", "")).unwrap_err();
+    let (_, told) = rig.publish(&document(1, "rui", "")).unwrap_err();
+    assert!(told.contains("in force: [defaults] deadline: `20s` becomes `21s`"), "{told}");
     let out = rig.ctl(&["audit", "--log", &rig.log_addr.to_string()]);
     let text = String::from_utf8(out.stdout).unwrap();
     assert!(text.contains("edit of version 1 by ana, reviewed by tomas: accepted as version 2"));
