--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 pub mod standin;
 
 use std::fmt::Display;
+use std::io::IsTerminal;
 use std::process::ExitCode;
 
 use getopts::{Matches, Options};
@@ -89,6 +90,7 @@
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_writer(std::io::stderr)
+        .with_ansi(std::io::stderr().is_terminal())
         .with_target(false);
     let done = if json { builder.json().try_init() } else { builder.try_init() };
     if let Err(e) = done {
