--- a/src/adapter/http.rs
+++ b/src/adapter/http.rs
@@ -66,6 +66,12 @@
         finish(self.agent.get(url).call())
     }
 
+    /// GET that may take `limit` milliseconds, for calls that wait.
+    pub fn get_within(&self, url: &str, limit: u64) -> Result<Vec<u8>, CallError> {
+        let request = self.agent.get(url).config();
+        finish(request.timeout_global(Some(Duration::from_millis(limit))).build().call())
+    }
+
     /// POST of raw bytes; returns the body of a 2xx answer.
     pub fn post(&self, url: &str, body: &[u8]) -> Result<Vec<u8>, CallError> {
         finish(self.agent.post(url).header("content-type", codec::MSGPACK).send(body))
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -70,7 +70,7 @@
 }
 
 /// Parses a command line; `brief` is shown with the options on `--help`.
-pub(crate) fn parse(options: &mut Options, brief: &str, args: &[String]) -> Result<Matches, Stop> {
+pub fn parse(options: &mut Options, brief: &str, args: &[String]) -> Result<Matches, Stop> {
     options.optflag("h", "help", "show this text");
     let matches = options.parse(args).map_err(|e| Stop::Usage(format!("{e}\n{brief}")))?;
     if matches.opt_present("help") {
@@ -80,7 +80,7 @@
 }
 
 /// Reads a file as text.
-pub(crate) fn slurp(path: &str) -> Result<String, Stop> {
+pub fn slurp(path: &str) -> Result<String, Stop> {
     std::fs::read_to_string(path).map_err(|e| Stop::failed(&format!("can't read {path}"), e))
 }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,3 +3,4 @@
 pub mod audit;
 pub mod config;
 pub mod peer;
+pub mod replica;
--- /dev/null
+++ b/src/fleet/replica.rs
@@ -0,0 +1,171 @@
+//! A copy of a keyed topic: the newest record of each key, read by offset from the platform or
+//! taken over whole from a peer.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::adapter::clock::Millis;
+
+/// Time after the platform's return in which an entry that lapsed may come back, in
+/// milliseconds. The users' letter gives endpoints about two seconds.
+pub const LAPSE: u64 = 2_000;
+/// Silence of the platform from which entries may have lapsed meanwhile, in milliseconds.
+pub const OUTAGE: u64 = 1_500;
+
+closed! {
+    /// A topic that instances follow.
+    pub enum Topic {
+        /// The operators' configuration.
+        Config,
+        /// The endpoints.
+        Endpoints,
+        /// The instances of the fleet.
+        Instances,
+    }
+}
+
+data! {
+    /// One record.
+    pub struct Record {
+        /// Its offset.
+        pub offset: u64,
+        /// Its key.
+        pub key: String,
+        /// Its value; `None` takes the key away.
+        #[serde(with = "serde_bytes")]
+        pub value: Option<Vec<u8>>,
+    }
+
+    /// Records up to an end.
+    pub struct Batch {
+        /// Offset after the last record.
+        pub end: u64,
+        /// Records in order of offset.
+        pub records: Vec<Record>,
+    }
+}
+
+/// One entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Entry {
+    offset: u64,
+    value: Vec<u8>,
+    /// Time at which it goes, once it has lapsed.
+    goes: Option<Millis>,
+}
+
+/// The copy.
+#[derive(Debug, Clone, Default)]
+pub struct Replica {
+    end: u64,
+    entries: IndexMap<String, Entry>,
+    heard: Millis,
+    returned: Millis,
+}
+
+impl Replica {
+    /// An empty copy at `now`.
+    pub fn new(now: Millis) -> Self {
+        Self { heard: now, ..Self::default() }
+    }
+
+    /// Offset from which to read on.
+    pub fn end(&self) -> u64 {
+        self.end
+    }
+
+    /// Time of the last answer of the platform.
+    pub fn heard(&self) -> Millis {
+        self.heard
+    }
+
+    /// Values by key.
+    pub fn entries(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.entries.iter().map(|(k, e)| (k.as_str(), e.value.as_slice()))
+    }
+
+    /// Records that came after the end. Returns true when an entry changed.
+    pub fn append(&mut self, now: Millis, batch: Batch) -> bool {
+        self.answered(now);
+        let mut changed = false;
+        for record in batch.records {
+            changed |= self.apply(now, record);
+        }
+        self.end = self.end.max(batch.end);
+        changed
+    }
+
+    /// The newest record of every key, read whole. Returns true when an entry changed.
+    pub fn reset(&mut self, now: Millis, batch: Batch) -> bool {
+        self.answered(now);
+        let mut changed = false;
+        let there: Vec<String> = batch.records.iter().map(|r| r.key.clone()).collect();
+        let gone: Vec<String> =
+            self.entries.keys().filter(|k| !there.contains(k)).cloned().collect();
+        for key in gone {
+            changed |= self.remove(now, &key);
+        }
+        for record in batch.records {
+            changed |= self.apply(now, record);
+        }
+        self.end = self.end.max(batch.end);
+        changed
+    }
+
+    /// A peer's copy, which counts if it is further on. Returns true when an entry changed.
+    pub fn adopt(&mut self, now: Millis, batch: Batch) -> bool {
+        if batch.end <= self.end {
+            return false;
+        }
+        let heard = self.heard;
+        let changed = self.reset(now, batch);
+        self.heard = heard;
+        changed
+    }
+
+    /// The copy for a peer, without entries that have lapsed.
+    pub fn export(&self) -> Batch {
+        let kept = self.entries.iter().filter(|(_, e)| e.goes.is_none());
+        let records = kept.map(|(k, e)| Record {
+            offset: e.offset,
+            key: k.clone(),
+            value: Some(e.value.clone()),
+        });
+        Batch { end: self.end, records: records.collect() }
+    }
+
+    /// Drops entries that have lapsed for good. Returns true when one went.
+    pub fn expire(&mut self, now: Millis) -> bool {
+        let before = self.entries.len();
+        self.entries.retain(|_, e| e.goes.is_none_or(|at| at > now));
+        before != self.entries.len()
+    }
+
+    fn answered(&mut self, now: Millis) {
+        if now.saturating_sub(self.heard) > OUTAGE {
+            self.returned = now;
+        }
+        self.heard = now;
+    }
+
+    fn apply(&mut self, now: Millis, record: Record) -> bool {
+        if self.entries.get(&record.key).is_some_and(|e| e.offset >= record.offset) {
+            return false;
+        }
+        let Some(value) = record.value else { return self.remove(now, &record.key) };
+        let fresh = Entry { offset: record.offset, value, goes: None };
+        let old = self.entries.insert(record.key, fresh.clone());
+        old.is_none_or(|o| o.value != fresh.value || o.goes.is_some())
+    }
+
+    /// Takes an entry away; right after an outage it gets time to come back.
+    fn remove(&mut self, now: Millis, key: &str) -> bool {
+        let lapsing = self.returned > 0 && now < self.returned + LAPSE;
+        let Some(entry) = self.entries.get_mut(key) else { return false };
+        if lapsing {
+            entry.goes.get_or_insert(self.returned + LAPSE);
+            return false;
+        }
+        self.entries.shift_remove(key).is_some()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod fleet;
 pub mod invariants;
 pub mod load;
+pub mod logs;
 pub mod mechanism;
 pub mod policy;
+pub mod relay;
 pub mod standin;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,13 +1,16 @@
 //! Decisions: time and events in, what to do next out. Nothing here does I/O.
 
+pub mod attempt;
 pub mod budget;
 pub mod claim;
 pub mod endpoint;
 pub mod length;
+pub mod place;
 pub mod pool;
 pub mod queue;
 pub mod share;
 pub mod suspect;
+pub mod window;
 
 use crate::adapter::clock::Millis;
 
--- /dev/null
+++ b/src/policy/place/endpoint.rs
@@ -0,0 +1,173 @@
+//! One endpoint: what is placed on it and how it behaves.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::Ask;
+use crate::adapter::clock::Millis;
+
+/// Shared parts remembered for each endpoint.
+const PARTS: usize = 256;
+/// Time for which a part is taken to be kept after its last use, in milliseconds.
+const KEPT: u64 = 20_000;
+/// Gain of the failure rate.
+const GAIN: f64 = 0.15;
+/// Failure rate from which an endpoint is left alone.
+const ILL: f64 = 0.4;
+/// First time out after failures, in milliseconds; it doubles up to [`LONGEST`].
+const FIRST: u64 = 500;
+/// Longest time out, in milliseconds.
+const LONGEST: u64 = 4_000;
+
+/// Work on an endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests sent and not ended.
+    #[serde(rename = "r")]
+    pub running: u32,
+    /// Prompt tokens of requests that have no first event yet, less what is kept.
+    #[serde(rename = "p")]
+    pub prefill: u32,
+    /// Tokens of memory that they may claim.
+    #[serde(rename = "m")]
+    pub memory: u32,
+    /// Those of the requests that have a tight target gap.
+    #[serde(rename = "t")]
+    pub tight: u32,
+}
+
+impl Load {
+    /// Adds another load.
+    pub fn add(&mut self, other: Self) {
+        self.running += other.running;
+        self.prefill += other.prefill;
+        self.memory += other.memory;
+        self.tight += other.tight;
+    }
+
+    /// Takes a load away again.
+    pub fn sub(&mut self, other: Self) {
+        self.running = self.running.saturating_sub(other.running);
+        self.prefill = self.prefill.saturating_sub(other.prefill);
+        self.memory = self.memory.saturating_sub(other.memory);
+        self.tight = self.tight.saturating_sub(other.tight);
+    }
+}
+
+/// What the instance list says of an endpoint.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// Its incarnation.
+    pub id: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Address, as IP:PORT.
+    pub addr: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// True when it must get no new work.
+    pub leaving: bool,
+    /// Time of its start in milliseconds; 0 where unknown.
+    pub born: u64,
+}
+
+/// An endpoint as one instance sees it.
+#[derive(Debug, Default)]
+pub struct Endpoint {
+    /// What the list says.
+    pub listing: Listing,
+    /// Work of this instance.
+    pub own: Load,
+    /// Work of the other instances.
+    pub peers: Load,
+    /// Running and waiting requests by its own word.
+    said: u32,
+    /// Another incarnation answers at its address.
+    stale: bool,
+    failing: f64,
+    strikes: u32,
+    until: Millis,
+    parts: IndexMap<u64, Millis>,
+}
+
+impl Endpoint {
+    /// A new endpoint.
+    pub fn new(listing: Listing) -> Self {
+        Self { listing, ..Self::default() }
+    }
+
+    /// Work of the whole fleet.
+    pub fn total(&self) -> Load {
+        let mut total = self.own;
+        total.add(self.peers);
+        total
+    }
+
+    /// Requests there by its own word.
+    pub fn reported(&self) -> u32 {
+        self.said
+    }
+
+    /// Takes its word on running and waiting requests.
+    pub fn report(&mut self, running: u32, waiting: u32) {
+        self.said = running + waiting;
+    }
+
+    /// True while it may get new work.
+    pub fn open(&self) -> bool {
+        !self.listing.leaving && !self.stale
+    }
+
+    /// True unless it is left alone after failures.
+    pub fn well(&self, now: Millis) -> bool {
+        self.until <= now
+    }
+
+    /// Its address answers for another incarnation.
+    pub fn mark_stale(&mut self) {
+        self.stale = true;
+    }
+
+    /// A request was answered.
+    pub fn good(&mut self) {
+        self.failing -= GAIN * self.failing;
+        self.strikes = 0;
+        self.until = 0;
+    }
+
+    /// A request failed. Returns true when the endpoint is left alone from now on.
+    pub fn bad(&mut self, now: Millis, hard: bool) -> bool {
+        self.failing += GAIN * (1.0 - self.failing);
+        if !hard && self.failing < ILL {
+            return false;
+        }
+        let time = (FIRST << self.strikes.min(4)).min(LONGEST);
+        self.strikes += 1;
+        self.until = now + time;
+        self.failing *= 0.5;
+        if hard {
+            self.parts.clear();
+        }
+        true
+    }
+
+    /// Prompt tokens that it has to read.
+    pub fn uncached(&self, now: Millis, ask: &Ask) -> u32 {
+        let kept = |id: &u64| self.parts.get(id).is_some_and(|at| at + KEPT > now);
+        let cached: u32 = ask.parts.iter().take_while(|(id, _)| kept(id)).map(|(_, t)| *t).sum();
+        ask.prompt.saturating_sub(cached)
+    }
+
+    /// It reads the prompt of a request and keeps its parts.
+    pub fn remember(&mut self, now: Millis, ask: &Ask) {
+        for (id, _) in &ask.parts {
+            self.parts.shift_remove(id);
+            self.parts.insert(*id, now);
+        }
+        while self.parts.len() > PARTS {
+            self.parts.shift_remove_index(0);
+        }
+    }
+}
--- /dev/null
+++ b/src/relay/driver/dispatch.rs
@@ -0,0 +1,282 @@
+//! From a whole request to an endpoint: routes, keys, the queue, and the choice.
+
+use super::super::caller::Request;
+use super::super::exchange::{self, Exchange};
+use super::super::link::User;
+use super::super::sse::Splitter;
+use super::super::timers::Owner;
+use super::{Driver, Pool};
+use crate::adapter::clock::Millis;
+use crate::policy::place::{Ask, Choice, Service};
+use crate::policy::suspect::Standing;
+use crate::policy::window::Window;
+
+/// Part of its target for which a request waits for room.
+const PATIENCE_PART: f64 = 0.5;
+/// Shortest and longest wait for room, in milliseconds.
+const PATIENCE: (u64, u64) = (150, 1_000);
+/// Part of its whole time that a request may wait for room.
+const PATIENCE_OF_DUE: f64 = 0.25;
+/// Waits of one kind that are looked at before the rest of that kind is left alone.
+const MISSES: usize = 4;
+
+/// Why a request is refused by the relay.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Refused {
+    NoTable,
+    NoRoute,
+    NoKey,
+    NoAttempt,
+    NoService,
+    NoRoom,
+    NoEndpoint,
+    Crashes,
+    NotRun,
+}
+
+impl Refused {
+    pub(super) fn status(self) -> u16 {
+        match self {
+            Self::NoRoute => 404,
+            Self::NoKey => 401,
+            Self::NoAttempt => 400,
+            _ => 503,
+        }
+    }
+
+    pub(super) fn why(self) -> &'static str {
+        match self {
+            Self::NoTable => "no configuration yet",
+            Self::NoRoute => "no such route",
+            Self::NoKey => "unknown key",
+            Self::NoAttempt => "attempt id missing",
+            Self::NoService => "no service for this route",
+            Self::NoRoom => "no room at endpoints",
+            Self::NoEndpoint => "no endpoint",
+            Self::Crashes => "content crashes endpoints",
+            Self::NotRun => "endpoints did not run it",
+        }
+    }
+}
+
+impl Driver {
+    /// Takes a request of a caller.
+    pub(super) fn admit(&mut self, index: usize, request: Request) {
+        self.callers[index].closing |= request.head.connection("close") || request.head.old;
+        let id = request.head.get(self.setup.names.attempt).unwrap_or_default().to_owned();
+        match self.prepare(request) {
+            Ok(exchange) => {
+                self.callers[index].exchange = Some(Box::new(exchange));
+                self.dispatch(index);
+            }
+            Err(refused) => {
+                let version = self.table.version;
+                tracing::info!(id, version, "relay: refused: {}", refused.why());
+                self.count("", refused.why());
+                let retry = (refused.status() == 503).then_some(500);
+                self.reply(index, refused.status(), retry, refused.why());
+            }
+        }
+    }
+
+    fn prepare(&mut self, request: Request) -> Result<Exchange, Refused> {
+        let Request { head, body, arrived } = request;
+        let (table, names) = (std::sync::Arc::clone(&self.table), &self.setup.names);
+        if table.version == 0 {
+            return Err(Refused::NoTable);
+        }
+        let host = head.get("host").unwrap_or_default();
+        let route = table.route(host, &head.target).ok_or(Refused::NoRoute)?;
+        let workspace = match &table.keys {
+            Some(keys) if !route.public => {
+                let key = head.get(names.key).ok_or(Refused::NoKey)?;
+                Some(keys.get(key).ok_or(Refused::NoKey)?)
+            }
+            _ => None,
+        };
+        if head.count(names.attempt) != 1 || head.count("host") != 1 {
+            return Err(Refused::NoAttempt);
+        }
+        let service = route.service(rand::random()).ok_or(Refused::NoService)?.to_owned();
+        let content = exchange::content(&head, &body, workspace.map(AsRef::as_ref));
+        let ask = exchange::ask(names, &head, body.len(), route);
+        let last = head.get(names.last_event).and_then(|v| v.parse().ok());
+        let given: Option<u64> = head.get(names.deadline).and_then(|v| v.parse().ok());
+        let time = given.unwrap_or(u64::MAX).min(route.timeout);
+        let now = self.clock.now();
+        if let Standing::Quarantined { .. } = self.suspects.standing(now, content) {
+            return Err(Refused::Crashes);
+        }
+        self.pool(&service).window.request(now);
+        Ok(Exchange {
+            id: head.get(self.setup.names.attempt).unwrap_or_default().to_owned(),
+            route: std::sync::Arc::clone(route),
+            service,
+            workspace: workspace.cloned(),
+            head,
+            body,
+            ask,
+            content,
+            version: table.version,
+            arrived,
+            due: arrived + time,
+            patience: arrived + patience(route.target, time),
+            place: None,
+            sends: 0,
+            runs: 0,
+            link: None,
+            placed: None,
+            sent_at: 0,
+            events: Splitter::new(last),
+            streaming: false,
+            first_at: None,
+            last_at: 0,
+        })
+    }
+
+    pub(super) fn pool(&mut self, service: &str) -> &mut Pool {
+        if !self.pools.contains_key(service) {
+            let place = Service::new(&self.setup.domain);
+            self.pools.insert(service.to_owned(), Pool { place, window: Window::default() });
+        }
+        &mut self.pools[service]
+    }
+
+    /// Chooses an endpoint for a request, or lets it wait.
+    pub(super) fn dispatch(&mut self, index: usize) {
+        if self.waits_behind(index) {
+            return self.wait(index);
+        }
+        if !self.try_send(index) {
+            self.wait(index);
+        }
+    }
+
+    /// True when a request that is as urgent, and of the same kind, waits already.
+    fn waits_behind(&self, index: usize) -> bool {
+        let Some(own) = self.callers[index].exchange.as_ref() else { return false };
+        self.queue.order().iter().any(|(place, other)| {
+            let other = self.callers.get(*other).and_then(|c| c.exchange.as_ref());
+            place.0 <= own.priority()
+                && other.is_some_and(|o| o.service == own.service && o.ask.gap == own.ask.gap)
+        })
+    }
+
+    fn wait(&mut self, index: usize) {
+        let serial = self.callers[index].serial;
+        let Some(exchange) = self.callers[index].exchange.as_mut() else { return };
+        if exchange.place.is_none() {
+            let place = (exchange.priority(), exchange.arrived, serial);
+            exchange.place = Some(place);
+            self.queue.enter(place, index);
+        }
+        let at = exchange.patience;
+        self.timers.set(at, Owner::Caller(index, serial));
+    }
+
+    /// Tries to send each request that waits, in order.
+    pub(super) fn drain_queue(&mut self) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let mut missed: Vec<(String, u64, usize)> = Vec::new();
+        for (_, index) in self.queue.order() {
+            let Some(exchange) = self.callers.get(index).and_then(|c| c.exchange.as_ref()) else {
+                continue;
+            };
+            let kind = (exchange.service.clone(), exchange.ask.gap);
+            let known = missed.iter().position(|(s, g, _)| *s == kind.0 && *g == kind.1);
+            if known.is_some_and(|i| missed[i].2 >= MISSES) {
+                continue;
+            }
+            if self.try_send(index) {
+                continue;
+            }
+            match known {
+                Some(i) => missed[i].2 += 1,
+                None => missed.push((kind.0, kind.1, 1)),
+            }
+        }
+        self.stats.waiting.set(self.queue.len() as i64);
+    }
+
+    /// Sends a request if an endpoint has room. Returns false when it has to wait.
+    fn try_send(&mut self, index: usize) -> bool {
+        let now = self.clock.now();
+        let Some(exchange) = self.callers[index].exchange.as_ref() else { return true };
+        let (service, ask) = (exchange.service.clone(), exchange.ask.clone());
+        let Choice::Take(endpoint, load) = self.pool(&service).place.choose(now, &ask) else {
+            return false;
+        };
+        let Some(link) = self.link_to(index, &service, &endpoint) else { return false };
+        self.send(index, link, &endpoint, now);
+        if let Some(exchange) = self.callers.get(index).and_then(|c| c.exchange.as_ref()) {
+            let (id, route, version) = (&exchange.id, &exchange.route.name, exchange.version);
+            let (send, waited) = (exchange.sends, now.saturating_sub(exchange.arrived));
+            let age = now.saturating_sub(self.listed_at);
+            tracing::info!(
+                id,
+                route,
+                service,
+                endpoint,
+                version,
+                send,
+                waited,
+                running = load.running,
+                prefill = load.prefill,
+                list_age = age,
+                "relay: sent"
+            );
+        }
+        true
+    }
+
+    fn link_to(&mut self, index: usize, service: &str, endpoint: &str) -> Option<usize> {
+        let exchange = self.callers[index].exchange.as_ref()?;
+        let once = !exchange.kind().repeatable();
+        if let Some(link) = self.spare_link(endpoint, once) {
+            return Some(link);
+        }
+        if !self.may_connect(endpoint, service) {
+            return None;
+        }
+        let addr = self.pools.get(service)?.place.get(endpoint)?.listing.addr.parse().ok()?;
+        match self.connect(endpoint, service, addr) {
+            Ok(link) => Some(link),
+            Err(e) => {
+                tracing::warn!(endpoint, "relay: connection not opened: {e}");
+                None
+            }
+        }
+    }
+
+    fn send(&mut self, index: usize, link: usize, endpoint: &str, now: Millis) {
+        let Some(mut exchange) = self.callers[index].exchange.take() else { return };
+        if let Some(place) = exchange.place.take() {
+            self.queue.leave(place);
+        }
+        let route = exchange.route.name.clone();
+        let waited = now.saturating_sub(exchange.arrived);
+        let label = super::super::stats::ByRoute { route };
+        self.stats.waited.get_or_create(&label).observe(waited as f64 / 1_000.0);
+        let ask: &Ask = &exchange.ask;
+        let placed = self.pool(&exchange.service).place.start(now, endpoint, ask);
+        exchange.placed = Some(placed);
+        exchange.sends += 1;
+        exchange.sent_at = now;
+        exchange.last_at = now;
+        exchange.link = Some(link);
+        let bytes = exchange.bytes(&self.setup.names, endpoint, now);
+        let method = exchange.head.method.clone();
+        let serial = self.callers[index].serial;
+        self.callers[index].exchange = Some(exchange);
+        self.watch_caller(index);
+        self.start_link(link, User { index, serial }, &method, bytes);
+    }
+}
+
+/// Time for which a request waits for room, in milliseconds.
+fn patience(target: u64, time: u64) -> u64 {
+    let wish = ((target as f64 * PATIENCE_PART) as u64).clamp(PATIENCE.0, PATIENCE.1);
+    wish.min((time as f64 * PATIENCE_OF_DUE) as u64)
+}
--- /dev/null
+++ b/src/relay/driver/links.rs
@@ -0,0 +1,216 @@
+//! Connections to endpoints: opening, writing requests, reading answers, keeping some for reuse.
+
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+
+use mio::Interest;
+use mio::net::TcpStream;
+
+use super::super::link::{CONNECT, End, KEEP_ONCE, Link, User};
+use super::super::timers::Owner;
+use super::{Driver, link_token};
+use crate::adapter::clock::Millis;
+
+/// Part of an endpoint's connections that the fleet uses.
+const CONNS_PART: f64 = 0.9;
+
+impl Driver {
+    /// A kept connection to an endpoint.
+    pub(super) fn spare_link(&mut self, endpoint: &str, once: bool) -> Option<usize> {
+        let now = self.clock.now();
+        let list = self.spare.get_mut(endpoint)?;
+        let index = *list.last()?;
+        let link = &self.links[index];
+        let keep = if once { link.keep.min(KEEP_ONCE) } else { link.keep };
+        if link.idle + keep <= now {
+            return None;
+        }
+        list.pop();
+        Some(index)
+    }
+
+    /// True when another connection to the endpoint may be opened.
+    pub(super) fn may_connect(&self, endpoint: &str, service: &str) -> bool {
+        let Some(most) = self.table.services.get(service).map(|s| s.max_conns) else { return true };
+        let sharers = self.peers.sharers(self.clock.now()) as f64;
+        let part = (f64::from(most) * CONNS_PART / sharers).max(1.0);
+        let open = self.links.iter().filter(|(_, l)| l.endpoint == endpoint).count();
+        (open as f64) < part
+    }
+
+    /// Opens a connection.
+    pub(super) fn connect(
+        &mut self,
+        endpoint: &str,
+        service: &str,
+        addr: SocketAddr,
+    ) -> io::Result<usize> {
+        let sock = TcpStream::connect(addr)?;
+        let now = self.clock.now();
+        let serial = self.next_serial();
+        let index = self.links.insert(Link::new(sock, serial, endpoint, service, now));
+        let both = Interest::READABLE | Interest::WRITABLE;
+        let sock = &mut self.links[index].sock;
+        if let Err(e) = self.poll.registry().register(sock, link_token(index), both) {
+            self.links.remove(index);
+            return Err(e);
+        }
+        self.stats.connects.inc();
+        self.timers.set(now + CONNECT, Owner::Link(index, serial));
+        Ok(index)
+    }
+
+    /// Sends a request over a connection.
+    pub(super) fn start_link(&mut self, index: usize, user: User, method: &str, bytes: Vec<u8>) {
+        self.links[index].begin(user, method, bytes);
+        if self.links[index].connected {
+            self.flush_link(index);
+        }
+    }
+
+    pub(super) fn link_event(&mut self, index: usize, readable: bool, writable: bool) {
+        if !self.links.contains(index) {
+            return;
+        }
+        if writable && !self.links[index].connected && !self.establish(index) {
+            return;
+        }
+        if readable {
+            self.read_link(index);
+        }
+        if writable && self.links.get(index).is_some_and(|l| l.connected) {
+            self.flush_link(index);
+        }
+    }
+
+    /// Finishes a connection. Returns false when it failed.
+    fn establish(&mut self, index: usize) -> bool {
+        let link = &mut self.links[index];
+        let failed = match link.sock.take_error() {
+            Ok(None) => link.sock.peer_addr().is_err(),
+            Ok(Some(_)) | Err(_) => true,
+        };
+        if failed {
+            let refused = link.sock.peer_addr().is_err();
+            self.link_ended(index, End::Reset, refused);
+            return false;
+        }
+        link.connected = true;
+        if let Err(e) = link.sock.set_nodelay(true) {
+            tracing::debug!("relay: nodelay not set: {e}");
+        }
+        true
+    }
+
+    fn flush_link(&mut self, index: usize) {
+        let link = &mut self.links[index];
+        let mut sent = 0;
+        while sent < link.out.len() {
+            match link.sock.write(&link.out[sent..]) {
+                Ok(n) => {
+                    sent += n;
+                    link.wrote = true;
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                // The answer, if any, is still to be read.
+                Err(_) => break,
+            }
+        }
+        link.out.drain(..sent);
+    }
+
+    fn read_link(&mut self, index: usize) {
+        let end = self.fill_link(index);
+        if self.links[index].user.is_none() {
+            if end.is_some() || !self.links[index].input.is_empty() {
+                self.drop_link(index);
+            }
+            return;
+        }
+        self.advance_link(index);
+        // The connection may have been given back, and its index used again, meanwhile.
+        if let Some(end) = end
+            && self.links.get(index).is_some_and(|l| l.user.is_some() || l.input.is_empty())
+        {
+            self.link_ended(index, end, false);
+        }
+    }
+
+    fn fill_link(&mut self, index: usize) -> Option<End> {
+        let link = &mut self.links[index];
+        loop {
+            match link.sock.read(&mut self.buffer) {
+                Ok(0) => return Some(End::Closed),
+                Ok(n) => link.input.extend_from_slice(&self.buffer[..n]),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
+                Err(e) if e.kind() == io::ErrorKind::NotConnected => return None,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return Some(End::Reset),
+            }
+        }
+    }
+
+    /// Keeps a connection whose answer is whole, or closes it.
+    pub(super) fn release_link(&mut self, index: usize) {
+        let now = self.clock.now();
+        let Some(link) = self.links.get_mut(index) else { return };
+        if !link.reusable() {
+            self.drop_link(index);
+            return;
+        }
+        link.learn_keep();
+        link.user = None;
+        link.served += 1;
+        link.idle = now;
+        link.clear();
+        let (endpoint, serial, keep) = (link.endpoint.clone(), link.serial, link.keep);
+        self.spare.entry(endpoint).or_default().push(index);
+        self.timers.set(now + keep, Owner::Link(index, serial));
+    }
+
+    pub(super) fn link_due(&mut self, index: usize, serial: u64) {
+        if self.links.get(index).is_none_or(|l| l.serial != serial) {
+            return;
+        }
+        let now = self.clock.now();
+        let link = &self.links[index];
+        if !link.connected {
+            self.connect_due(index, now);
+        } else if link.user.is_none() && link.idle + link.keep <= now {
+            self.drop_link(index);
+        }
+    }
+
+    fn connect_due(&mut self, index: usize, now: Millis) {
+        let link = &self.links[index];
+        if link.opened + CONNECT <= now {
+            self.link_ended(index, End::Reset, true);
+        }
+    }
+
+    pub(super) fn drop_link(&mut self, index: usize) {
+        let Some(mut link) = self.links.try_remove(index) else { return };
+        if let Some(list) = self.spare.get_mut(&link.endpoint) {
+            list.retain(|i| *i != index);
+        }
+        if let Err(e) = self.poll.registry().deregister(&mut link.sock) {
+            tracing::debug!("relay: connection not unwatched: {e}");
+        }
+    }
+
+    /// Closes kept connections to endpoints that are no longer listed.
+    pub(super) fn drop_unlisted(&mut self) {
+        let listed = |id: &str| self.pools.values().any(|p| p.place.get(id).is_some());
+        let unlisted: Vec<usize> = self
+            .links
+            .iter()
+            .filter(|(_, l)| l.user.is_none() && !listed(&l.endpoint))
+            .map(|(i, _)| i)
+            .collect();
+        for index in unlisted {
+            self.drop_link(index);
+        }
+        self.spare.retain(|_, list| !list.is_empty());
+    }
+}
--- /dev/null
+++ b/src/relay/driver/mod.rs
@@ -0,0 +1,223 @@
+//! The loop that owns all connections of an instance.
+
+mod answers;
+mod callers;
+mod dispatch;
+mod links;
+mod outcome;
+mod peers;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use mio::net::{TcpListener, UdpSocket};
+use mio::{Events, Interest, Poll, Token, Waker};
+use slab::Slab;
+
+use super::caller::Caller;
+use super::gossip::{self, Peers};
+use super::link::Link;
+use super::names::Names;
+use super::queue::Queue;
+use super::state::Shared;
+use super::stats::Stats;
+use super::table::Table;
+use super::timers::{Owner, Timers};
+use crate::adapter::clock::{Clock, Millis};
+use crate::policy::place::Service;
+use crate::policy::suspect::Suspects;
+use crate::policy::window::{Rule, Window};
+
+const WAKE: Token = Token(0);
+const FRONT: Token = Token(1);
+const READY: Token = Token(2);
+const GOSSIP: Token = Token(3);
+const FIRST: usize = 4;
+/// Events taken at once.
+const EVENTS: usize = 256;
+/// Longest sleep of the loop, in milliseconds.
+const LONGEST: u64 = 500;
+/// Bytes read from a socket at once.
+const CHUNK: usize = 16 << 10;
+
+/// What an instance is told at its start.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// Its name.
+    pub name: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Address for callers.
+    pub front: SocketAddr,
+    /// Address for readiness checks.
+    pub ready: SocketAddr,
+    /// Address for datagrams and calls of peers.
+    pub peers: SocketAddr,
+    /// Time for which a stopping process may go on, in milliseconds.
+    pub grace: u64,
+    /// Retries that the fleet may spend on one service.
+    pub retries: Rule,
+    /// Names of headers.
+    pub names: Names,
+}
+
+/// One service: where its requests go, and what may be retried.
+#[derive(Debug, Default)]
+struct Pool {
+    place: Service,
+    window: Window,
+}
+
+/// The loop's state.
+pub struct Driver {
+    setup: Setup,
+    clock: Clock,
+    poll: Poll,
+    front: TcpListener,
+    ready: TcpListener,
+    udp: UdpSocket,
+    shared: Arc<Shared>,
+    stats: Arc<Stats>,
+    table: Arc<Table>,
+    pools: IndexMap<String, Pool>,
+    listed: bool,
+    listed_at: Millis,
+    callers: Slab<Caller>,
+    links: Slab<Link>,
+    spare: IndexMap<String, Vec<usize>>,
+    queue: Queue,
+    timers: Timers,
+    peers: Peers,
+    suspects: Suspects,
+    gone: Vec<(Millis, String)>,
+    serial: u64,
+    life: u64,
+    beats: u64,
+    stopping: Option<Millis>,
+    buffer: Vec<u8>,
+}
+
+impl Driver {
+    /// Opens the sockets of an instance.
+    pub fn open(setup: Setup, clock: Clock) -> io::Result<Self> {
+        let poll = Poll::new()?;
+        let mut front = TcpListener::bind(setup.front)?;
+        let mut ready = TcpListener::bind(setup.ready)?;
+        let mut udp = UdpSocket::bind(setup.peers)?;
+        let registry = poll.registry();
+        registry.register(&mut front, FRONT, Interest::READABLE)?;
+        registry.register(&mut ready, READY, Interest::READABLE)?;
+        registry.register(&mut udp, GOSSIP, Interest::READABLE)?;
+        let waker = Waker::new(registry, WAKE)?;
+        let now = clock.now();
+        let mut timers = Timers::default();
+        timers.set(now + gossip::EVERY, Owner::Gossip);
+        Ok(Self {
+            setup,
+            clock,
+            poll,
+            front,
+            ready,
+            udp,
+            shared: Arc::new(Shared::new(now, waker)),
+            stats: Arc::default(),
+            table: Arc::default(),
+            pools: IndexMap::new(),
+            listed: false,
+            listed_at: 0,
+            callers: Slab::new(),
+            links: Slab::new(),
+            spare: IndexMap::new(),
+            queue: Queue::default(),
+            timers,
+            peers: Peers::default(),
+            suspects: Suspects::default(),
+            gone: Vec::new(),
+            serial: 0,
+            life: now,
+            beats: 0,
+            stopping: None,
+            buffer: vec![0; CHUNK.max(gossip::DATAGRAM)],
+        })
+    }
+
+    /// State that other threads share with the loop.
+    pub fn shared(&self) -> Arc<Shared> {
+        Arc::clone(&self.shared)
+    }
+
+    /// Counters of the loop.
+    pub fn stats(&self) -> Arc<Stats> {
+        Arc::clone(&self.stats)
+    }
+
+    /// Runs until the process may end.
+    pub fn run(&mut self) -> io::Result<()> {
+        let mut events = Events::with_capacity(EVENTS);
+        loop {
+            let now = self.clock.now();
+            let next = self.timers.next().map_or(LONGEST, |at| at.saturating_sub(now));
+            match self.poll.poll(&mut events, Some(Duration::from_millis(next.min(LONGEST)))) {
+                Ok(()) => {}
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) => return Err(e),
+            }
+            for event in &events {
+                self.event(event.token(), event.is_readable(), event.is_writable());
+            }
+            self.fire();
+            self.drain_queue();
+            if self.finished() {
+                return Ok(());
+            }
+        }
+    }
+
+    fn event(&mut self, token: Token, readable: bool, writable: bool) {
+        match token {
+            WAKE => self.news(),
+            FRONT => self.accept(super::caller::Door::Front),
+            READY => self.accept(super::caller::Door::Ready),
+            GOSSIP => self.hear(),
+            Token(n) => {
+                let index = (n - FIRST) / 2;
+                if (n - FIRST).is_multiple_of(2) {
+                    self.caller_event(index, readable, writable);
+                } else {
+                    self.link_event(index, readable, writable);
+                }
+            }
+        }
+    }
+
+    fn fire(&mut self) {
+        let now = self.clock.now();
+        while let Some(owner) = self.timers.due(now) {
+            match owner {
+                Owner::Caller(index, serial) => self.caller_due(index, serial),
+                Owner::Link(index, serial) => self.link_due(index, serial),
+                Owner::Gossip => self.gossip(now),
+            }
+        }
+    }
+
+    fn next_serial(&mut self) -> u64 {
+        self.serial += 1;
+        self.serial
+    }
+
+    fn is_ready(&self) -> bool {
+        self.stopping.is_none() && self.listed && self.table.version > 0
+    }
+}
+
+fn caller_token(index: usize) -> Token {
+    Token(FIRST + 2 * index)
+}
+
+fn link_token(index: usize) -> Token {
+    Token(FIRST + 2 * index + 1)
+}
--- /dev/null
+++ b/src/relay/driver/peers.rs
@@ -0,0 +1,170 @@
+//! News from other threads, and datagrams from and to peers.
+
+use std::io;
+
+use super::super::gossip::{self, Beat};
+use super::super::state::Ahead;
+use super::super::timers::Owner;
+use super::Driver;
+use super::outcome::{CRASHES, REFUSED};
+use crate::adapter::clock::Millis;
+use crate::adapter::codec;
+use crate::policy::place::{Listing, Shape};
+
+/// Crashes told in one datagram.
+const TOLD: usize = 40;
+
+impl Driver {
+    /// Takes over a new table, list, or the order to stop.
+    pub(super) fn news(&mut self) {
+        let news = self.shared.take();
+        if let Some(table) = news.table {
+            self.take_table(table);
+        }
+        if let Some(listings) = news.endpoints {
+            self.take_listings(&listings);
+        }
+        if let Some(instances) = news.instances {
+            self.peers.sync(&instances);
+        }
+        if news.stop && self.stopping.is_none() {
+            tracing::info!(requests = self.callers.len(), "relay: stopping");
+            self.stopping = Some(self.clock.now());
+        }
+    }
+
+    fn take_table(&mut self, table: std::sync::Arc<super::Table>) {
+        if table.version <= self.table.version {
+            return;
+        }
+        let (from, to) = (self.table.version, table.version);
+        tracing::info!(
+            from,
+            to,
+            routes = table.routes.values().map(Vec::len).sum::<usize>(),
+            "relay: configuration in force"
+        );
+        self.stats.version.set(to as i64);
+        self.table = table;
+        let table = std::sync::Arc::clone(&self.table);
+        for (name, service) in &table.services {
+            let shape = Shape { batch: service.batch, memory: service.memory, gaps: service.gaps };
+            self.pool(name).place.shape = shape;
+        }
+    }
+
+    fn take_listings(&mut self, listings: &[Listing]) {
+        let mut names: Vec<String> = listings.iter().map(|l| l.service.clone()).collect();
+        names.extend(self.pools.keys().cloned());
+        names.sort();
+        names.dedup();
+        for name in names {
+            let own: Vec<Listing> =
+                listings.iter().filter(|l| l.service == name).cloned().collect();
+            self.log_changes(&name, &own);
+            self.pool(&name).place.sync(&own);
+        }
+        if !self.listed {
+            tracing::info!(endpoints = listings.len(), "relay: endpoints known");
+        }
+        self.listed = true;
+        self.listed_at = self.clock.now();
+        self.drop_unlisted();
+    }
+
+    fn log_changes(&mut self, service: &str, listings: &[Listing]) {
+        let place = &self.pool(service).place;
+        for l in listings {
+            match place.get(&l.id) {
+                None => {
+                    tracing::info!(service, endpoint = l.id, addr = l.addr, "relay: endpoint came")
+                }
+                Some(e) if e.listing.leaving != l.leaving => {
+                    tracing::info!(
+                        service,
+                        endpoint = l.id,
+                        leaving = l.leaving,
+                        "relay: endpoint changed"
+                    );
+                }
+                Some(_) => {}
+            }
+        }
+        for e in place.all().filter(|e| listings.iter().all(|l| l.id != e.listing.id)) {
+            tracing::info!(service, endpoint = e.listing.id, "relay: endpoint went");
+        }
+    }
+
+    /// Tells all peers what this instance does, and takes stock of what they do.
+    pub(super) fn gossip(&mut self, now: Millis) {
+        self.timers.set(now + gossip::EVERY, Owner::Gossip);
+        self.beats += 1;
+        let bytes = codec::pack(&self.beat(now));
+        let addrs: Vec<_> = self.peers.addrs().collect();
+        for addr in addrs {
+            if let Err(e) = self.udp.send_to(&bytes, addr) {
+                tracing::debug!(%addr, "relay: datagram not sent: {e}");
+            }
+        }
+        let loads = self.peers.loads(now);
+        for pool in self.pools.values_mut() {
+            pool.place.peers(&loads);
+        }
+        let ahead = self.peers.all().filter(|p| p.heard > 0);
+        let ahead: Vec<Ahead> = ahead.map(|p| Ahead { addr: p.addr, ends: p.beat.ends }).collect();
+        self.stats.peers.set(ahead.len() as i64);
+        self.shared.set_ahead(ahead);
+    }
+
+    fn beat(&self, now: Millis) -> Beat {
+        let places = self.pools.values().flat_map(|p| p.place.all());
+        let busy = places.filter(|e| e.own.running > 0);
+        let crashes = self.suspects.export(now).into_iter();
+        let crashes = crashes.flat_map(|(c, ids)| ids.into_iter().map(move |id| (c, id)));
+        Beat {
+            name: self.setup.name.clone(),
+            life: self.life,
+            seq: self.beats,
+            ends: self.shared.ends(),
+            loads: busy.map(|e| (e.listing.id.clone(), e.own)).collect(),
+            gone: self.gone.iter().map(|(_, id)| id.clone()).collect(),
+            crashes: crashes.take(TOLD).collect(),
+        }
+    }
+
+    pub(super) fn hear(&mut self) {
+        loop {
+            let (n, from) = match self.udp.recv_from(&mut self.buffer) {
+                Ok(got) => got,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) => {
+                    tracing::debug!("relay: datagram not received: {e}");
+                    return;
+                }
+            };
+            match codec::unpack::<Beat>(&self.buffer[..n]) {
+                Ok(beat) => self.take_beat(from, beat),
+                Err(e) => tracing::warn!(%from, "relay: datagram not understood: {e}"),
+            }
+        }
+    }
+
+    fn take_beat(&mut self, from: std::net::SocketAddr, beat: Beat) {
+        let now = self.clock.now();
+        for id in &beat.gone {
+            let all = self.pools.values_mut().filter_map(|p| p.place.get_mut(id));
+            all.for_each(crate::policy::place::Endpoint::mark_stale);
+        }
+        for (content, endpoint) in &beat.crashes {
+            if self.suspects.crashed(now, *content, endpoint, CRASHES, REFUSED) {
+                tracing::warn!(
+                    content,
+                    endpoint,
+                    peer = beat.name,
+                    "relay: content refused, by peers' word"
+                );
+            }
+        }
+        self.peers.hear(now, from, beat);
+    }
+}
--- /dev/null
+++ b/src/relay/follow.rs
@@ -0,0 +1,249 @@
+//! Threads that keep the copies of the platform's topics current, from the platform or, while it
+//! doesn't answer here, from peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use super::state::Shared;
+use super::table::Table;
+use crate::adapter::clock::Clock;
+use crate::adapter::http::Client;
+use crate::fleet::replica::{Batch, Topic};
+use crate::policy::place::Listing;
+
+/// Longest wait of a read for a new configuration, in milliseconds.
+const CONFIG_WAIT: u64 = 2_500;
+/// Time between two reads of the endpoints, in milliseconds.
+const LIST_EVERY: u64 = 800;
+/// Longest wait of a read for changed endpoints, in milliseconds.
+const LIST_WAIT: u64 = 400;
+/// Time between two reads of the instances, in milliseconds.
+const INSTANCES_EVERY: u64 = 10_000;
+/// First and longest pause after a failed call, in milliseconds.
+const BACKOFF: (u64, u64) = (100, 800);
+/// Time between two looks at what peers have, in milliseconds.
+const LOOK: u64 = 150;
+/// Silence of the platform from which peers are asked, in milliseconds: longer than the longest
+/// wait between two reads.
+const SILENT: u64 = 1_400;
+/// Bound on a call to a peer, in milliseconds.
+const PEER_CALL: u64 = 400;
+
+/// Why a call to the platform brought nothing.
+#[derive(Debug, thiserror::Error)]
+pub enum SourceError {
+    /// The records asked for are no longer kept.
+    #[error("records have expired")]
+    Expired,
+    /// Refused, and nothing was done.
+    #[error("refused: {0}")]
+    Refused(String),
+    /// No answer; the call may have had an effect.
+    #[error("no answer: {0}")]
+    Unanswered(String),
+    /// The answer can't be read.
+    #[error("bad answer: {0}")]
+    Garbled(String),
+}
+
+/// The platform as an instance needs it: three topics, and the meaning of their records.
+pub trait Source: Send + Sync {
+    /// The newest record of every key.
+    fn newest(&self, topic: Topic) -> Result<Batch, SourceError>;
+    /// Records from an offset on, waiting up to `wait` milliseconds for the first.
+    fn read(&self, topic: Topic, from: u64, wait: u64) -> Result<Batch, SourceError>;
+    /// Announces this instance under a key, or takes that back.
+    fn announce(&self, key: &str, value: Option<&[u8]>) -> Result<(), SourceError>;
+    /// Reads a configuration; the error has the findings.
+    fn table(&self, key: &str, value: &[u8]) -> Option<Result<Table, String>>;
+    /// Reads an endpoint's entry; the error says what is wrong with it.
+    fn listing(&self, key: &str, value: &[u8]) -> Result<Listing, String>;
+}
+
+/// Starts the threads of an instance that is called `name` and reached by peers at `addr`.
+pub fn start(
+    source: &Arc<dyn Source>,
+    shared: &Arc<Shared>,
+    clock: &Clock,
+    me: (String, SocketAddr),
+) {
+    for topic in [Topic::Config, Topic::Endpoints] {
+        let (source, shared, clock) = (Arc::clone(source), Arc::clone(shared), clock.clone());
+        thread::spawn(move || Follower { source, shared, clock, topic }.run());
+    }
+    let (source2, shared2, clock2) = (Arc::clone(source), Arc::clone(shared), clock.clone());
+    thread::spawn(move || catch_up(&source2, &shared2, &clock2));
+    let (source, shared, clock) = (Arc::clone(source), Arc::clone(shared), clock.clone());
+    thread::spawn(move || meet(source.as_ref(), &shared, &clock, &me));
+}
+
+struct Follower {
+    source: Arc<dyn Source>,
+    shared: Arc<Shared>,
+    clock: Clock,
+    topic: Topic,
+}
+
+impl Follower {
+    fn run(&self) {
+        let mut backoff = BACKOFF.0;
+        let mut whole = true;
+        let mut lost = false;
+        loop {
+            match self.turn(whole) {
+                Ok(changed) => {
+                    if lost {
+                        tracing::info!(topic = ?self.topic, "follow: platform regained");
+                    }
+                    (lost, whole, backoff) = (false, false, BACKOFF.0);
+                    if changed {
+                        publish(self.source.as_ref(), &self.shared, self.topic);
+                    }
+                    self.pause();
+                }
+                Err(SourceError::Expired) => {
+                    tracing::info!(topic = ?self.topic, "follow: records expired, reading anew");
+                    whole = true;
+                }
+                Err(e) => {
+                    if !lost {
+                        tracing::warn!(topic = ?self.topic, "follow: platform lost: {e}");
+                    }
+                    lost = true;
+                    self.clock.sleep(backoff + rand::random_range(0..=backoff / 2));
+                    backoff = (backoff * 2).min(BACKOFF.1);
+                }
+            }
+        }
+    }
+
+    /// One read. Returns true when an entry changed.
+    fn turn(&self, whole: bool) -> Result<bool, SourceError> {
+        if whole {
+            let batch = self.source.newest(self.topic)?;
+            return Ok(self.shared.replica(self.topic).reset(self.clock.now(), batch));
+        }
+        let from = self.shared.replica(self.topic).end();
+        let wait = if self.topic == Topic::Config { CONFIG_WAIT } else { LIST_WAIT };
+        let batch = self.source.read(self.topic, from, wait)?;
+        let now = self.clock.now();
+        let mut replica = self.shared.replica(self.topic);
+        let changed = replica.append(now, batch);
+        Ok(replica.expire(now) || changed)
+    }
+
+    fn pause(&self) {
+        if self.topic == Topic::Endpoints {
+            self.clock.sleep(LIST_EVERY);
+        }
+    }
+}
+
+/// Decodes a copy and hands it to the driver.
+fn publish(source: &dyn Source, shared: &Shared, topic: Topic) {
+    let entries: Vec<(String, Vec<u8>)> = {
+        let replica = shared.replica(topic);
+        replica.entries().map(|(k, v)| (k.to_owned(), v.to_vec())).collect()
+    };
+    match topic {
+        Topic::Config => publish_table(source, shared, &entries),
+        Topic::Endpoints => publish_listings(source, shared, &entries),
+        Topic::Instances => {}
+    }
+}
+
+fn publish_table(source: &dyn Source, shared: &Shared, entries: &[(String, Vec<u8>)]) {
+    for (key, value) in entries {
+        match source.table(key, value) {
+            None => {}
+            Some(Ok(table)) => {
+                let table = Arc::new(table);
+                shared.tell(|news| news.table = Some(table));
+            }
+            Some(Err(findings)) => {
+                tracing::error!(key, "follow: configuration not taken: {findings}");
+            }
+        }
+    }
+}
+
+fn publish_listings(source: &dyn Source, shared: &Shared, entries: &[(String, Vec<u8>)]) {
+    let mut listings = Vec::new();
+    for (key, value) in entries {
+        match source.listing(key, value) {
+            Ok(listing) => listings.push(listing),
+            Err(why) => tracing::warn!(key, "follow: entry left out: {why}"),
+        }
+    }
+    shared.tell(|news| news.endpoints = Some(listings));
+}
+
+/// Takes copies from peers that are further on while the platform doesn't answer here.
+fn catch_up(source: &Arc<dyn Source>, shared: &Arc<Shared>, clock: &Clock) {
+    let client = Client::new(PEER_CALL);
+    loop {
+        clock.sleep(LOOK);
+        for topic in [Topic::Config, Topic::Endpoints] {
+            let (end, heard) = {
+                let replica = shared.replica(topic);
+                (replica.end(), replica.heard())
+            };
+            let silent = clock.now().saturating_sub(heard) > SILENT;
+            let Some((addr, theirs)) = shared.furthest(topic) else { continue };
+            if theirs <= end || (topic == Topic::Endpoints && !silent) {
+                continue;
+            }
+            take_from(source.as_ref(), shared, clock, &client, topic, addr);
+        }
+    }
+}
+
+fn take_from(
+    source: &dyn Source,
+    shared: &Shared,
+    clock: &Clock,
+    client: &Client,
+    topic: Topic,
+    addr: SocketAddr,
+) {
+    let path = if topic == Topic::Config { "config" } else { "endpoints" };
+    match client.get_packed::<Batch>(&format!("http://{addr}/replica/{path}")) {
+        Ok(batch) => {
+            let end = batch.end;
+            let changed = shared.replica(topic).adopt(clock.now(), batch);
+            tracing::info!(?topic, %addr, end, changed, "follow: taken from peer");
+            if changed {
+                publish(source, shared, topic);
+            }
+        }
+        Err(e) => tracing::warn!(?topic, %addr, "follow: peer not read: {e}"),
+    }
+}
+
+/// Announces this instance and learns of the others.
+fn meet(source: &dyn Source, shared: &Shared, clock: &Clock, me: &(String, SocketAddr)) {
+    let mut announced = false;
+    loop {
+        if !announced {
+            match source.announce(&me.0, Some(me.1.to_string().as_bytes())) {
+                Ok(()) => announced = true,
+                Err(e) => tracing::warn!("follow: not announced yet: {e}"),
+            }
+        }
+        match source.newest(Topic::Instances) {
+            Ok(batch) => {
+                let listed = batch.records.into_iter().filter_map(|r| instance(&r.key, r.value?));
+                let listed: Vec<_> = listed.filter(|(name, _)| *name != me.0).collect();
+                shared.tell(|news| news.instances = Some(listed));
+            }
+            Err(e) => tracing::warn!("follow: instances not read: {e}"),
+        }
+        clock.sleep(if announced { INSTANCES_EVERY } else { BACKOFF.1 });
+    }
+}
+
+fn instance(name: &str, value: Vec<u8>) -> Option<(String, SocketAddr)> {
+    let addr = String::from_utf8(value).ok()?.parse().ok()?;
+    Some((name.to_owned(), addr))
+}
--- /dev/null
+++ b/src/relay/serve.rs
@@ -0,0 +1,47 @@
+//! Calls from peers and operators: copies of topics, and metrics.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use rouille::{Request, Response, Server};
+
+use super::state::Shared;
+use super::stats::Stats;
+use crate::adapter::codec;
+use crate::fleet::replica::Topic;
+
+/// Threads of the server: calls are rare and short.
+const THREADS: usize = 2;
+
+/// Serves on an address in a thread of its own.
+pub fn start(addr: SocketAddr, shared: Arc<Shared>, stats: Arc<Stats>) -> Result<(), String> {
+    let answer = move |request: &Request| route(request, &shared, &stats);
+    let server = Server::new(addr, answer).map_err(|e| e.to_string())?.pool_size(THREADS);
+    thread::spawn(move || server.run());
+    Ok(())
+}
+
+fn route(request: &Request, shared: &Shared, stats: &Stats) -> Response {
+    match request.url().as_str() {
+        "/replica/config" => replica(shared, Topic::Config),
+        "/replica/endpoints" => replica(shared, Topic::Endpoints),
+        "/metrics" => metrics(stats),
+        _ => Response::empty_404(),
+    }
+}
+
+fn replica(shared: &Shared, topic: Topic) -> Response {
+    let batch = shared.replica(topic).export();
+    Response::from_data(codec::MSGPACK, codec::pack(&batch))
+}
+
+fn metrics(stats: &Stats) -> Response {
+    match stats.page() {
+        Ok(page) => Response::text(page),
+        Err(e) => {
+            tracing::error!("metrics: page not made: {e}");
+            Response::text("metrics are not available").with_status_code(500)
+        }
+    }
+}
