Stop without cutting late streams; count crashes only when the incarnation is gone; long reads of the list

From 2.5 s on streams are refused as not run, and quiet connections are closed. Only what is read in the first 300 ms after the return may be a lapse.

--- a/src/fleet/replica.rs
+++ b/src/fleet/replica.rs
@@ -9,6 +9,9 @@
 /// Time after the platform's return in which an entry that lapsed may come back, in
 /// milliseconds. The users' letter gives endpoints about two seconds.
 pub const LAPSE: u64 = 2_000;
+/// Time after the return in which removals are read that may be lapses, in milliseconds: what
+/// was removed meanwhile is read at once.
+const BACKLOG: u64 = 300;
 /// Silence of the platform from which entries may have lapsed meanwhile, in milliseconds.
 pub const OUTAGE: u64 = 1_500;
 
@@ -160,7 +163,7 @@
 
     /// Takes an entry away; right after an outage it gets time to come back.
     fn remove(&mut self, now: Millis, key: &str) -> bool {
-        let lapsing = self.returned > 0 && now < self.returned + LAPSE;
+        let lapsing = self.returned > 0 && now < self.returned + BACKLOG;
         let Some(entry) = self.entries.get_mut(key) else { return false };
         if lapsing {
             entry.goes.get_or_insert(self.returned + LAPSE);
--- a/src/relay/driver/callers.rs
+++ b/src/relay/driver/callers.rs
@@ -16,9 +16,11 @@
 const LINGER: u64 = 1_000;
 /// Answer bytes that a caller may leave unread before it is dropped.
 const UNREAD: usize = 4 << 20;
-/// Time after the stop in which connections without a request are kept, in milliseconds: the
-/// platform sends new requests until it has noticed.
-const KEPT_ON_STOP: u64 = 3_500;
+/// Time after the stop in which connections without a request are kept and streams are begun, in
+/// milliseconds: the platform notices after two readiness checks, a second apart.
+pub(super) const KEPT_ON_STOP: u64 = 2_500;
+/// Time after the stop from which the process may end, in milliseconds.
+const SERVES_ON_STOP: u64 = 3_500;
 /// Distance kept from the end of the grace, in milliseconds.
 const GRACE_MARGIN: u64 = 500;
 
@@ -274,6 +276,22 @@
         }
     }
 
+    /// Closes connections without a request, once the platform sends no more.
+    pub(super) fn close_quiet(&mut self) {
+        let quiet = |c: &Caller| c.door == Door::Front && c.quiet() && c.linger.is_none();
+        let all = self.callers.iter().filter(|(_, c)| quiet(c));
+        let all: Vec<usize> = all.map(|(i, _)| i).collect();
+        let now = self.clock.now();
+        for index in all {
+            self.linger(index, now);
+        }
+    }
+
+    /// True once a stopping process begins no more streams.
+    pub(super) fn late_in_stop(&self) -> bool {
+        self.stopping.is_some_and(|at| self.clock.now() >= at + KEPT_ON_STOP)
+    }
+
     /// True when a stopping process has nothing left to do, or no time.
     pub(super) fn finished(&mut self) -> bool {
         let Some(since) = self.stopping else { return false };
@@ -282,6 +300,6 @@
             return true;
         }
         let idle = |c: &Caller| c.door == Door::Ready || c.quiet() || c.linger.is_some();
-        passed >= KEPT_ON_STOP && self.callers.iter().all(|(_, c)| idle(c))
+        passed >= SERVES_ON_STOP && self.callers.iter().all(|(_, c)| idle(c))
     }
 }
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -7,6 +7,7 @@
 use super::super::timers::Owner;
 use super::{Driver, Pool};
 use crate::adapter::clock::Millis;
+use crate::fleet::replica::Topic;
 use crate::policy::place::{Ask, Choice, Service};
 use crate::policy::suspect::Standing;
 use crate::policy::window::Window;
@@ -17,6 +18,10 @@
 const PATIENCE: (u64, u64) = (150, 1_000);
 /// Part of its whole time that a request may wait for room.
 const PATIENCE_OF_DUE: f64 = 0.25;
+/// Time after which a caller may come back to another instance, in milliseconds.
+const RETRY_ELSEWHERE: u64 = 10;
+/// Time after which a caller may come back where nothing better is known, in milliseconds.
+const RETRY_SOON: u64 = 500;
 /// Waits of one kind that are looked at before the rest of that kind is left alone.
 const MISSES: usize = 4;
 
@@ -31,6 +36,7 @@
     NoRoom,
     NoEndpoint,
     Crashes,
+    Stopping,
     NotRun,
 }
 
@@ -44,6 +50,14 @@
         }
     }
 
+    /// Time after which another try may fare better, in milliseconds.
+    fn retry(self) -> u64 {
+        match self {
+            Self::Stopping => RETRY_ELSEWHERE,
+            _ => RETRY_SOON,
+        }
+    }
+
     pub(super) fn why(self) -> &'static str {
         match self {
             Self::NoTable => "no configuration yet",
@@ -54,6 +68,7 @@
             Self::NoRoom => "no room at endpoints",
             Self::NoEndpoint => "no endpoint",
             Self::Crashes => "content crashes endpoints",
+            Self::Stopping => "instance is stopping",
             Self::NotRun => "endpoints did not run it",
         }
     }
@@ -73,7 +88,7 @@
                 let version = self.table.version;
                 tracing::info!(id, version, "relay: refused: {}", refused.why());
                 self.count("", refused.why());
-                let retry = (refused.status() == 503).then_some(500);
+                let retry = (refused.status() == 503).then(|| refused.retry());
                 self.reply(index, refused.status(), retry, refused.why());
             }
         }
@@ -97,6 +112,9 @@
         if head.count(names.attempt) != 1 || head.count("host") != 1 {
             return Err(Refused::NoAttempt);
         }
+        if route.kind.streams() && self.late_in_stop() {
+            return Err(Refused::Stopping);
+        }
         let service = route.service(rand::random()).ok_or(Refused::NoService)?.to_owned();
         let content = exchange::content(&head, &body, workspace.map(AsRef::as_ref));
         let ask = exchange::ask(names, &head, body.len(), route);
@@ -213,7 +231,7 @@
         if let Some(exchange) = self.callers.get(index).and_then(|c| c.exchange.as_ref()) {
             let (id, route, version) = (&exchange.id, &exchange.route.name, exchange.version);
             let (send, waited) = (exchange.sends, now.saturating_sub(exchange.arrived));
-            let age = now.saturating_sub(self.listed_at);
+            let age = now.saturating_sub(self.shared.replica(Topic::Endpoints).heard());
             tracing::info!(
                 id,
                 route,
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -71,6 +71,14 @@
     window: Window,
 }
 
+/// An answer that broke off, which may have been a crash.
+#[derive(Debug)]
+struct Broken {
+    at: Millis,
+    endpoint: String,
+    content: u64,
+}
+
 /// The loop's state.
 pub struct Driver {
     setup: Setup,
@@ -84,7 +92,6 @@
     table: Arc<Table>,
     pools: IndexMap<String, Pool>,
     listed: bool,
-    listed_at: Millis,
     callers: Slab<Caller>,
     links: Slab<Link>,
     spare: IndexMap<String, Vec<usize>>,
@@ -93,6 +100,7 @@
     peers: Peers,
     suspects: Suspects,
     gone: Vec<(Millis, String)>,
+    broken: Vec<Broken>,
     serial: u64,
     life: u64,
     beats: u64,
@@ -127,7 +135,6 @@
             table: Arc::default(),
             pools: IndexMap::new(),
             listed: false,
-            listed_at: 0,
             callers: Slab::new(),
             links: Slab::new(),
             spare: IndexMap::new(),
@@ -136,6 +143,7 @@
             peers: Peers::default(),
             suspects: Suspects::default(),
             gone: Vec::new(),
+            broken: Vec::new(),
             serial: 0,
             life: now,
             beats: 0,
@@ -170,6 +178,9 @@
             }
             self.fire();
             self.drain_queue();
+            if self.late_in_stop() {
+                self.close_quiet();
+            }
             if self.finished() {
                 return Ok(());
             }
--- a/src/relay/driver/outcome.rs
+++ b/src/relay/driver/outcome.rs
@@ -1,8 +1,8 @@
 //! How attempts and requests end.
 
 use super::super::stats::{ByCause, ByRoute, Finished};
-use super::Driver;
 use super::dispatch::Refused;
+use super::{Broken, Driver};
 use crate::policy::attempt::{Fact, Next, Standing};
 use crate::policy::place::Endpoint;
 
@@ -10,6 +10,8 @@
 pub(super) const CRASHES: u32 = 3;
 /// Time for which such a content is refused, in milliseconds.
 pub(super) const REFUSED: u64 = 600_000;
+/// Time within which the list or the address shows that an endpoint has crashed, in milliseconds.
+const CRASH_SHOWS: u64 = 6_000;
 /// Time for which peers are told of an incarnation that is gone, in milliseconds.
 const GONE: u64 = 5_000;
 /// Parts of a target between which a refused caller is told to come back.
@@ -129,11 +131,12 @@
     /// Takes what a failure says of its endpoint.
     fn judge(&mut self, service: &str, endpoint: &str, cause: Cause, content: u64) {
         let now = self.clock.now();
-        if cause == Cause::Broken && self.suspects.crashed(now, content, endpoint, CRASHES, REFUSED)
-        {
-            tracing::warn!(content, endpoint, "relay: content refused, it crashes endpoints");
+        if cause == Cause::Broken {
+            let endpoint = endpoint.to_owned();
+            self.broken.push(Broken { at: now, endpoint, content });
         }
         if cause == Cause::Stale {
+            self.crashed(endpoint);
             self.gone.retain(|(at, _)| at + GONE > now);
             self.gone.push((now, endpoint.to_owned()));
         }
@@ -152,6 +155,22 @@
         }
     }
 
+    /// An incarnation is gone: what broke off there just before counts as crashed by its content,
+    /// or by one beside it.
+    pub(super) fn crashed(&mut self, endpoint: &str) {
+        let now = self.clock.now();
+        self.broken.retain(|b| b.at + CRASH_SHOWS > now);
+        let (here, rest) = std::mem::take(&mut self.broken)
+            .into_iter()
+            .partition::<Vec<_>, _>(|b| b.endpoint == endpoint);
+        self.broken = rest;
+        for Broken { content, .. } in here {
+            if self.suspects.crashed(now, content, endpoint, CRASHES, REFUSED) {
+                tracing::warn!(content, endpoint, "relay: content refused, it crashes endpoints");
+            }
+        }
+    }
+
     /// The request on a connection has ended at its endpoint.
     pub(super) fn settle(&mut self, caller: usize, good: bool) {
         let now = self.clock.now();
--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -62,13 +62,13 @@
             let own: Vec<Listing> =
                 listings.iter().filter(|l| l.service == name).cloned().collect();
             self.log_changes(&name, &own);
+            self.note_crashes(&name, &own);
             self.pool(&name).place.sync(&own);
         }
         if !self.listed {
             tracing::info!(endpoints = listings.len(), "relay: endpoints known");
         }
         self.listed = true;
-        self.listed_at = self.clock.now();
         self.drop_unlisted();
     }
 
@@ -95,6 +95,18 @@
         }
     }
 
+    /// Incarnations that went without having said that they leave may have crashed.
+    fn note_crashes(&mut self, service: &str, listings: &[Listing]) {
+        let same = |l: &Listing, old: &Listing| l.id == old.id && l.born == old.born;
+        let place = &self.pool(service).place;
+        let gone = place.all().filter(|e| !e.listing.leaving);
+        let gone = gone.filter(|e| !listings.iter().any(|l| same(l, &e.listing)));
+        let gone: Vec<String> = gone.map(|e| e.listing.id.clone()).collect();
+        for id in gone {
+            self.crashed(&id);
+        }
+    }
+
     /// Tells all peers what this instance does, and takes stock of what they do.
     pub(super) fn gossip(&mut self, now: Millis) {
         self.timers.set(now + gossip::EVERY, Owner::Gossip);
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -12,21 +12,20 @@
 use crate::fleet::replica::{Batch, Topic};
 use crate::policy::place::Listing;
 
-/// Longest wait of a read for a new configuration, in milliseconds.
-const CONFIG_WAIT: u64 = 2_500;
-/// Time between two reads of the endpoints, in milliseconds.
-const LIST_EVERY: u64 = 800;
-/// Longest wait of a read for changed endpoints, in milliseconds.
-const LIST_WAIT: u64 = 400;
+/// Longest wait of a read for news, in milliseconds: within the bounds for a configuration and for
+/// a leaving endpoint, should the connection have gone silent.
+const WAIT: u64 = 2_500;
+/// Pause after a read with news, in milliseconds: news that come in a row are read together.
+const PAUSE: u64 = 200;
 /// Time between two reads of the instances, in milliseconds.
 const INSTANCES_EVERY: u64 = 10_000;
 /// First and longest pause after a failed call, in milliseconds.
 const BACKOFF: (u64, u64) = (100, 800);
 /// Time between two looks at what peers have, in milliseconds.
 const LOOK: u64 = 150;
-/// Silence of the platform from which peers are asked, in milliseconds: longer than the longest
-/// wait between two reads.
-const SILENT: u64 = 1_400;
+/// Looks in a row that must find a peer ahead before it is asked: a read of our own is faster
+/// where the platform answers.
+const BEHIND: u32 = 2;
 /// Bound on a call to a peer, in milliseconds.
 const PEER_CALL: u64 = 400;
 
@@ -99,8 +98,8 @@
                     (lost, whole, backoff) = (false, false, BACKOFF.0);
                     if changed {
                         publish(self.source.as_ref(), &self.shared, self.topic);
+                        self.clock.sleep(PAUSE);
                     }
-                    self.pause();
                 }
                 Err(SourceError::Expired) => {
                     tracing::info!(topic = ?self.topic, "follow: records expired, reading anew");
@@ -125,18 +124,9 @@
             return Ok(self.shared.replica(self.topic).reset(self.clock.now(), batch));
         }
         let from = self.shared.replica(self.topic).end();
-        let wait = if self.topic == Topic::Config { CONFIG_WAIT } else { LIST_WAIT };
-        let batch = self.source.read(self.topic, from, wait)?;
+        let batch = self.source.read(self.topic, from, WAIT)?;
         let now = self.clock.now();
-        let mut replica = self.shared.replica(self.topic);
-        let changed = replica.append(now, batch);
-        Ok(replica.expire(now) || changed)
-    }
-
-    fn pause(&self) {
-        if self.topic == Topic::Endpoints {
-            self.clock.sleep(LIST_EVERY);
-        }
+        Ok(self.shared.replica(self.topic).append(now, batch))
     }
 }
 
@@ -182,19 +172,19 @@
 /// Takes copies from peers that are further on while the platform doesn't answer here.
 fn catch_up(source: &Arc<dyn Source>, shared: &Arc<Shared>, clock: &Clock) {
     let client = Client::new(PEER_CALL);
+    let mut behind = [0, 0];
     loop {
         clock.sleep(LOOK);
-        for topic in [Topic::Config, Topic::Endpoints] {
-            let (end, heard) = {
-                let replica = shared.replica(topic);
-                (replica.end(), replica.heard())
-            };
-            let silent = clock.now().saturating_sub(heard) > SILENT;
+        if shared.replica(Topic::Endpoints).expire(clock.now()) {
+            publish(source.as_ref(), shared, Topic::Endpoints);
+        }
+        for (topic, looks) in [Topic::Config, Topic::Endpoints].into_iter().zip(&mut behind) {
+            let end = shared.replica(topic).end();
             let Some((addr, theirs)) = shared.furthest(topic) else { continue };
-            if theirs <= end || (topic == Topic::Endpoints && !silent) {
-                continue;
+            *looks = if theirs > end { *looks + 1 } else { 0 };
+            if *looks >= BEHIND {
+                take_from(source.as_ref(), shared, clock, &client, topic, addr);
             }
-            take_from(source.as_ref(), shared, clock, &client, topic, addr);
         }
     }
 }
