Place by shared prompt parts that the whole fleet knows; let short prompts into the tight part

Change: datagrams name the shared parts sent; re-reading one costs 6 times its tokens; less urgent requests leave room; prompts of at most two steps may be guests of the tight part.

--- a/src/policy/place/endpoint.rs
+++ b/src/policy/place/endpoint.rs
@@ -54,6 +54,22 @@
     }
 }
 
+/// Prompt tokens that an endpoint has to read.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Fresh {
+    /// In parts that other requests share.
+    pub shared: u32,
+    /// In the request's own part.
+    pub own: u32,
+}
+
+impl Fresh {
+    /// All of them.
+    pub fn total(self) -> u32 {
+        self.shared + self.own
+    }
+}
+
 /// What the instance list says of an endpoint.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Listing {
@@ -153,18 +169,20 @@
         true
     }
 
-    /// Prompt tokens that it has to read.
-    pub fn uncached(&self, now: Millis, ask: &Ask) -> u32 {
+    /// Prompt tokens that it has to read: those that others share, and those of the request alone.
+    pub fn uncached(&self, now: Millis, ask: &Ask) -> Fresh {
         let kept = |id: &u64| self.parts.get(id).is_some_and(|at| at + KEPT > now);
-        let cached: u32 = ask.parts.iter().take_while(|(id, _)| kept(id)).map(|(_, t)| *t).sum();
-        ask.prompt.saturating_sub(cached)
+        let shared = ask.shared();
+        let cached: u32 = shared.iter().take_while(|(id, _)| kept(id)).map(|(_, t)| *t).sum();
+        let all: u32 = shared.iter().map(|(_, t)| *t).sum();
+        Fresh { shared: all - cached, own: ask.prompt.saturating_sub(all) }
     }
 
-    /// It reads the prompt of a request and keeps its parts.
-    pub fn remember(&mut self, now: Millis, ask: &Ask) {
-        for (id, _) in &ask.parts {
-            self.parts.shift_remove(id);
-            self.parts.insert(*id, now);
+    /// It reads parts of a prompt and keeps them.
+    pub fn remember(&mut self, now: Millis, parts: impl Iterator<Item = u64>) {
+        for id in parts {
+            self.parts.shift_remove(&id);
+            self.parts.insert(id, now);
         }
         while self.parts.len() > PARTS {
             self.parts.shift_remove_index(0);
--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -6,7 +6,7 @@
 
 mod endpoint;
 
-pub use endpoint::{Endpoint, Listing, Load};
+pub use endpoint::{Endpoint, Fresh, Listing, Load};
 
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -15,7 +15,7 @@
 
 /// Prompt tokens that may wait for prefill on an engine before more is held back: about half a
 /// second of work on the engines of the site sheets.
-const PREFILL_LIMIT: u32 = 32_000;
+const PREFILL_LIMIT: f64 = 32_000.0;
 /// Part of a batch that is filled by choice; a fuller batch decodes too slowly.
 const BATCH_PART: f64 = 0.7;
 /// Part of an engine's memory that requests may claim; the rest holds shared prompt parts.
@@ -32,8 +32,20 @@
 const TIGHT_SHARE: (f64, f64) = (0.25, 0.5);
 /// A service is parted when its loosest target gap is this many times its tightest.
 const PART_RATIO: u64 = 2;
-/// Discount on a shared part that the engine is only expected to keep.
-const HOME_TRUST: f64 = 0.5;
+/// Cost of reading a shared part once more, for each of its tokens: it is work done twice, and
+/// takes memory twice.
+const REREAD: f64 = 6.0;
+/// Discount at the endpoint that is meant to keep the parts, in prompt tokens: it decides where
+/// nobody keeps them yet.
+const HOME: f64 = 400.0;
+/// Prompt tokens that an engine reads in one step, at most.
+const STEP: u32 = 2_048;
+/// Prompt tokens that the tight part takes of requests without a tight gap: they pass between two
+/// events.
+const TIGHT_GUESTS: u32 = 2 * STEP;
+/// Part of the room that requests of the ranks 0, 1 and later may fill, so that the more urgent
+/// still find some.
+const ROOM: [f64; 3] = [1.2, 1.0, 0.8];
 
 /// What a request needs.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -46,15 +58,20 @@
     pub output: u32,
     /// Longest pause between events for its target, in milliseconds; 0 for none.
     pub gap: u64,
+    /// Its priority, 0 first.
+    pub rank: u8,
     /// Endpoints that must not be chosen.
     pub avoid: Vec<String>,
 }
 
 impl Ask {
-    /// The deepest part that other requests share.
-    fn shared(&self) -> Option<u64> {
-        let n = self.parts.len();
-        n.checked_sub(2).map(|i| self.parts[i].0)
+    /// Parts that other requests share: all but the last.
+    pub fn shared(&self) -> &[(u64, u32)] {
+        &self.parts[..self.parts.len().saturating_sub(1)]
+    }
+
+    fn room(&self) -> f64 {
+        ROOM[usize::from(self.rank).min(ROOM.len() - 1)]
     }
 }
 
@@ -100,6 +117,13 @@
     pub load: Load,
 }
 
+/// The endpoints by what they serve first.
+#[derive(Debug)]
+struct Parts {
+    tight: Vec<String>,
+    loose: Vec<String>,
+}
+
 /// The endpoints of one service as one instance sees them.
 #[derive(Debug, Default)]
 pub struct Service {
@@ -107,7 +131,7 @@
     pub shape: Shape,
     domain: String,
     endpoints: IndexMap<String, Endpoint>,
-    parting: usize,
+    border: usize,
 }
 
 impl Service {
@@ -158,18 +182,33 @@
         if usable.is_empty() {
             return Choice::Nobody;
         }
-        let pool = self.part(&usable, ask);
-        let best = pool
-            .iter()
-            .filter(|id| self.has_room(&self.endpoints[id.as_str()], ask))
-            .map(|id| (self.cost(now, &self.endpoints[id.as_str()], ask, &pool), id))
-            .min_by(|a, b| a.0.total_cmp(&b.0));
-        match best {
-            Some((_, id)) => Choice::Take(id.clone(), self.endpoints[id.as_str()].total()),
-            None => Choice::Full,
+        let parts = self.parts(&usable);
+        let tight = self.shape.is_tight(ask.gap);
+        let own = if tight { &parts.tight } else { &parts.loose };
+        match self.cheapest(now, own, ask, false) {
+            Some(id) => self.take(&id),
+            None if tight => Choice::Full,
+            None => match self.cheapest(now, &parts.tight, ask, true) {
+                Some(id) => self.take(&id),
+                None => Choice::Full,
+            },
         }
     }
 
+    fn take(&self, id: &str) -> Choice {
+        let load = self.endpoints.get(id).map(Endpoint::total).unwrap_or_default();
+        Choice::Take(id.to_owned(), load)
+    }
+
+    fn cheapest(&self, now: Millis, ids: &[String], ask: &Ask, guest: bool) -> Option<String> {
+        let home = ask.shared().last().and_then(|(part, _)| home(*part, ids));
+        let all = ids.iter().filter_map(|id| self.endpoints.get(id));
+        let open = all.filter(|e| self.has_room(now, e, ask, guest));
+        let cost = |e: &Endpoint| self.cost(now, e, ask, home == Some(e.listing.id.as_str()));
+        let best = open.map(|e| (cost(e), e)).min_by(|a, b| a.0.total_cmp(&b.0));
+        best.map(|(_, e)| e.listing.id.clone())
+    }
+
     /// Endpoints that may be used: healthy ones, or all if too many seem ill.
     fn usable(&self, now: Millis, ask: &Ask) -> Vec<String> {
         let open = self.endpoints.values().filter(|e| e.open());
@@ -179,11 +218,12 @@
         chosen.iter().map(|e| e.listing.id.clone()).collect()
     }
 
-    /// The part of the usable endpoints that serves requests of this kind, in rendezvous order.
-    fn part(&mut self, usable: &[String], ask: &Ask) -> Vec<String> {
+    /// Parts the usable endpoints: some engines serve tight streams first, so that long prompts
+    /// don't hold up their events.
+    fn parts(&mut self, usable: &[String]) -> Parts {
         let mut ranked = usable.to_vec();
         if !self.shape.parted() || ranked.len() < 2 {
-            return ranked;
+            return Parts { tight: ranked.clone(), loose: ranked };
         }
         ranked.sort_by_key(|id| xxh3_64_with_seed(id.as_bytes(), 0));
         let n = ranked.len();
@@ -193,44 +233,41 @@
         let each = f64::from(self.shape.batch) * TIGHT_FILL;
         let want = (f64::from(tight) / each).ceil() as usize;
         // Shrinks one step behind demand, so that the border doesn't swing.
-        self.parting = want.max(self.parting.min(want + 1)).clamp(least, most);
-        let at = self.parting;
-        if self.shape.is_tight(ask.gap) {
-            ranked.truncate(at)
-        } else {
-            drop(ranked.drain(..at))
-        }
-        ranked
+        self.border = want.max(self.border.min(want + 1)).clamp(least, most);
+        let loose = ranked.split_off(self.border);
+        Parts { tight: ranked, loose }
     }
 
-    fn has_room(&self, e: &Endpoint, ask: &Ask) -> bool {
+    /// True when the endpoint may take the request now. A `guest` is one without a tight gap in
+    /// the tight part.
+    fn has_room(&self, now: Millis, e: &Endpoint, ask: &Ask, guest: bool) -> bool {
         let total = e.total();
         if self.shape.batch == 0 {
             let slots = f64::from(e.listing.slots.max(1));
             return f64::from(total.running.max(e.reported())) < slots * PLAIN_DEPTH;
         }
-        let batch = f64::from(self.shape.batch);
-        let part = if self.shape.is_tight(ask.gap) { 1.0 } else { BATCH_PART };
+        if guest && total.prefill + e.uncached(now, ask).total() > TIGHT_GUESTS {
+            return false;
+        }
+        let room = ask.room();
         let claimed = total.memory + ask.prompt + ask.output;
         let memory = f64::from(self.shape.memory) * MEMORY_PART;
         total.running == 0
-            || (f64::from(total.running) < batch * part
-                && total.prefill <= PREFILL_LIMIT
+            || (f64::from(total.running) < f64::from(self.shape.batch) * BATCH_PART * room
+                && f64::from(total.prefill) <= PREFILL_LIMIT * room
                 && f64::from(claimed) <= memory)
     }
 
-    fn cost(&self, now: Millis, e: &Endpoint, ask: &Ask, pool: &[String]) -> f64 {
+    fn cost(&self, now: Millis, e: &Endpoint, ask: &Ask, home: bool) -> f64 {
         let total = e.total();
         if self.shape.batch == 0 {
             let far = if e.listing.domain == self.domain { 0.0 } else { FAR_COST };
             return f64::from(total.running.max(e.reported())) + far;
         }
-        let home = ask.shared().and_then(|part| home(part, pool));
-        let mut fresh = f64::from(e.uncached(now, ask));
-        if home == Some(e.listing.id.as_str()) {
-            fresh -= HOME_TRUST * f64::from(shared_tokens(ask)).min(fresh);
-        }
-        f64::from(total.prefill) + fresh + RUNNING_COST * f64::from(total.running)
+        let fresh = e.uncached(now, ask);
+        let mut cost = f64::from(total.prefill) + RUNNING_COST * f64::from(total.running);
+        cost += f64::from(fresh.own) + REREAD * f64::from(fresh.shared);
+        if home { cost - HOME } else { cost }
     }
 
     /// Records that a request goes to an endpoint.
@@ -243,8 +280,8 @@
             tight: u32::from(tight),
         };
         if let Some(e) = self.endpoints.get_mut(id) {
-            load.prefill = e.uncached(now, ask);
-            e.remember(now, ask);
+            load.prefill = e.uncached(now, ask).total();
+            e.remember(now, ask.shared().iter().map(|(id, _)| *id));
             e.own.add(load);
         }
         Placed { endpoint: id.to_owned(), load }
@@ -266,12 +303,6 @@
     }
 }
 
-/// Tokens that others share with the request.
-fn shared_tokens(ask: &Ask) -> u32 {
-    let n = ask.parts.len().saturating_sub(1);
-    ask.parts[..n].iter().map(|(_, t)| *t).sum()
-}
-
 /// The endpoint that is meant to keep a part: the same on every instance.
 fn home(part: u64, pool: &[String]) -> Option<&str> {
     pool.iter().max_by_key(|id| xxh3_64_with_seed(id.as_bytes(), part)).map(String::as_str)
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -117,7 +117,8 @@
         }
         let service = route.service(rand::random()).ok_or(Refused::NoService)?.to_owned();
         let content = exchange::content(&head, &body, workspace.map(AsRef::as_ref));
-        let ask = exchange::ask(names, &head, body.len(), route);
+        let mut ask = exchange::ask(names, &head, body.len(), route);
+        ask.rank = workspace.and_then(|w| w.priority).unwrap_or(route.priority);
         let last = head.get(names.last_event).and_then(|v| v.parse().ok());
         let given: Option<u64> = head.get(names.deadline).and_then(|v| v.parse().ok());
         let time = given.unwrap_or(u64::MAX).min(route.timeout);
@@ -279,6 +280,8 @@
         self.stats.waited.get_or_create(&label).observe(waited as f64 / 1_000.0);
         let ask: &Ask = &exchange.ask;
         let placed = self.pool(&exchange.service).place.start(now, endpoint, ask);
+        let parts = exchange.ask.shared().iter().map(|(id, _)| *id);
+        self.parts.entry(endpoint.to_owned()).or_default().extend(parts);
         exchange.placed = Some(placed);
         exchange.sends += 1;
         exchange.sent_at = now;
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -99,6 +99,8 @@
     timers: Timers,
     peers: Peers,
     suspects: Suspects,
+    /// Shared prompt parts sent since the last datagram, by endpoint.
+    parts: IndexMap<String, Vec<u64>>,
     gone: Vec<(Millis, String)>,
     broken: Vec<Broken>,
     serial: u64,
@@ -142,6 +144,7 @@
             timers,
             peers: Peers::default(),
             suspects: Suspects::default(),
+            parts: IndexMap::new(),
             gone: Vec::new(),
             broken: Vec::new(),
             serial: 0,
--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -128,7 +128,8 @@
         self.shared.set_ahead(ahead);
     }
 
-    fn beat(&self, now: Millis) -> Beat {
+    fn beat(&mut self, now: Millis) -> Beat {
+        let parts = std::mem::take(&mut self.parts);
         let places = self.pools.values().flat_map(|p| p.place.all());
         let busy = places.filter(|e| e.own.running > 0);
         let crashes = self.suspects.export(now).into_iter();
@@ -139,6 +140,7 @@
             seq: self.beats,
             ends: self.shared.ends(),
             loads: busy.map(|e| (e.listing.id.clone(), e.own)).collect(),
+            parts,
             gone: self.gone.iter().map(|(_, id)| id.clone()).collect(),
             crashes: crashes.take(TOLD).collect(),
         }
@@ -163,6 +165,10 @@
 
     fn take_beat(&mut self, from: std::net::SocketAddr, beat: Beat) {
         let now = self.clock.now();
+        for (id, parts) in &beat.parts {
+            let all = self.pools.values_mut().filter_map(|p| p.place.get_mut(id));
+            all.for_each(|e| e.remember(now, parts.iter().copied()));
+        }
         for id in &beat.gone {
             let all = self.pools.values_mut().filter_map(|p| p.place.get_mut(id));
             all.for_each(crate::policy::place::Endpoint::mark_stale);
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -120,6 +120,7 @@
         prompt,
         output: hint.unwrap_or(most).min(most.max(1)),
         gap: route.gap,
+        rank: 0,
         avoid: Vec::new(),
     }
 }
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -35,6 +35,9 @@
     /// Its work by endpoint.
     #[serde(rename = "w")]
     pub loads: IndexMap<String, Load>,
+    /// Shared prompt parts that it sent since its last datagram, by endpoint.
+    #[serde(rename = "k")]
+    pub parts: IndexMap<String, Vec<u64>>,
     /// Incarnations that it found gone from their address.
     #[serde(rename = "g")]
     pub gone: Vec<String>,
