--- a/src/fleet/replica.rs
+++ b/src/fleet/replica.rs
@@ -12,8 +12,9 @@
 /// Time after the return in which removals are read that may be lapses, in milliseconds: what
 /// was removed meanwhile is read at once.
 const BACKLOG: u64 = 300;
-/// Silence of the platform from which entries may have lapsed meanwhile, in milliseconds.
-pub const OUTAGE: u64 = 1_500;
+/// Silence of the platform from which entries may have lapsed meanwhile, in milliseconds: below
+/// three of the endpoints' heartbeats.
+pub const OUTAGE: u64 = 3_000;
 
 closed! {
     /// A topic that instances follow.
@@ -63,6 +64,8 @@
     end: u64,
     entries: IndexMap<String, Entry>,
     heard: Millis,
+    /// A call has failed since the last answer.
+    failed: bool,
     returned: Millis,
 }
 
@@ -82,6 +85,11 @@
         self.heard
     }
 
+    /// A call to the platform brought no answer.
+    pub fn fail(&mut self) {
+        self.failed = true;
+    }
+
     /// Values by key.
     pub fn entries(&self) -> impl Iterator<Item = (&str, &[u8])> {
         self.entries.iter().map(|(k, e)| (k.as_str(), e.value.as_slice()))
@@ -120,9 +128,10 @@
         if batch.end <= self.end {
             return false;
         }
-        let heard = self.heard;
+        let (heard, failed, returned) = (self.heard, self.failed, self.returned);
+        self.failed = false;
         let changed = self.reset(now, batch);
-        self.heard = heard;
+        (self.heard, self.failed, self.returned) = (heard, failed, returned);
         changed
     }
 
@@ -145,9 +154,10 @@
     }
 
     fn answered(&mut self, now: Millis) {
-        if now.saturating_sub(self.heard) > OUTAGE {
+        if self.failed && now.saturating_sub(self.heard) > OUTAGE {
             self.returned = now;
         }
+        self.failed = false;
         self.heard = now;
     }
 
--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -152,6 +152,7 @@
         let Some(mut placed) = exchange.placed.take() else { return };
         if placed.load.prefill > 0 {
             self.pool(&service).place.first(&mut placed);
+            self.tell_soon();
         }
         if let Some(exchange) = self.callers[caller].exchange.as_mut() {
             exchange.placed = Some(placed);
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -291,6 +291,7 @@
         let method = exchange.head.method.clone();
         let serial = self.callers[index].serial;
         self.callers[index].exchange = Some(exchange);
+        self.tell_soon();
         self.watch_caller(index);
         self.start_link(link, User { index, serial }, &method, bytes);
     }
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -106,6 +106,8 @@
     serial: u64,
     life: u64,
     beats: u64,
+    gossip_at: Millis,
+    gossiped: Millis,
     stopping: Option<Millis>,
     buffer: Vec<u8>,
 }
@@ -150,6 +152,8 @@
             serial: 0,
             life: now,
             beats: 0,
+            gossip_at: now + gossip::EVERY,
+            gossiped: now,
             stopping: None,
             buffer: vec![0; CHUNK.max(gossip::DATAGRAM)],
         })
--- a/src/relay/driver/outcome.rs
+++ b/src/relay/driver/outcome.rs
@@ -74,6 +74,7 @@
         let (id, route) = (exchange.id.clone(), exchange.route.name.clone());
         if let Some(placed) = &placed {
             self.pool(&service).place.end(placed);
+            self.tell_soon();
         }
         self.judge(&service, &endpoint, cause, content);
         let sharers = self.peers.sharers(now);
@@ -182,9 +183,13 @@
         let Some(placed) = exchange.placed.take() else { return };
         let place = &mut self.pool(&service).place;
         place.end(&placed);
+        let engine = place.shape.batch > 0;
         if good && let Some(e) = place.get_mut(&placed.endpoint) {
             Endpoint::good(e);
         }
+        if engine {
+            self.tell_soon();
+        }
         if good {
             self.suspects.alive(now, &placed.endpoint, CRASHES);
         }
--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -109,25 +109,43 @@
 
     /// Tells all peers what this instance does, and takes stock of what they do.
     pub(super) fn gossip(&mut self, now: Millis) {
-        self.timers.set(now + gossip::EVERY, Owner::Gossip);
+        if now < self.gossip_at {
+            return;
+        }
+        self.gossip_at = now + gossip::EVERY;
+        self.gossiped = now;
+        self.timers.set(self.gossip_at, Owner::Gossip);
         self.beats += 1;
-        let bytes = codec::pack(&self.beat(now));
+        let bytes = codec::pack_rows(&self.beat(now));
         let addrs: Vec<_> = self.peers.addrs().collect();
         for addr in addrs {
             if let Err(e) = self.udp.send_to(&bytes, addr) {
                 tracing::debug!(%addr, "relay: datagram not sent: {e}");
             }
         }
-        let loads = self.peers.loads(now);
-        for pool in self.pools.values_mut() {
-            pool.place.peers(&loads);
-        }
+        self.weigh_peers(now);
         let ahead = self.peers.all().filter(|p| p.heard > 0);
         let ahead: Vec<Ahead> = ahead.map(|p| Ahead { addr: p.addr, ends: p.beat.ends }).collect();
         self.stats.peers.set(ahead.len() as i64);
         self.shared.set_ahead(ahead);
     }
 
+    /// The load has changed: peers are told soon.
+    pub(super) fn tell_soon(&mut self) {
+        let at = self.clock.now().max(self.gossiped + self.peers.quick());
+        if at < self.gossip_at {
+            self.gossip_at = at;
+            self.timers.set(at, Owner::Gossip);
+        }
+    }
+
+    fn weigh_peers(&mut self, now: Millis) {
+        let loads = self.peers.loads(now);
+        for pool in self.pools.values_mut() {
+            pool.place.peers(&loads);
+        }
+    }
+
     fn beat(&mut self, now: Millis) -> Beat {
         let parts = std::mem::take(&mut self.parts);
         let places = self.pools.values().flat_map(|p| p.place.all());
@@ -150,7 +168,7 @@
         loop {
             let (n, from) = match self.udp.recv_from(&mut self.buffer) {
                 Ok(got) => got,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) => {
                     tracing::debug!("relay: datagram not received: {e}");
                     return;
@@ -161,6 +179,7 @@
                 Err(e) => tracing::warn!(%from, "relay: datagram not understood: {e}"),
             }
         }
+        self.weigh_peers(self.clock.now());
     }
 
     fn take_beat(&mut self, from: std::net::SocketAddr, beat: Beat) {
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -106,6 +106,7 @@
                     whole = true;
                 }
                 Err(e) => {
+                    self.shared.replica(self.topic).fail();
                     if !lost {
                         tracing::warn!(topic = ?self.topic, "follow: platform lost: {e}");
                     }
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -8,8 +8,13 @@
 use crate::adapter::clock::Millis;
 use crate::policy::place::Load;
 
-/// Time between two datagrams to a peer, in milliseconds.
-pub const EVERY: u64 = 200;
+/// Longest time between two datagrams to a peer, in milliseconds.
+pub const EVERY: u64 = 400;
+/// Shortest time between two datagrams to a peer after the load has changed, in milliseconds: the
+/// staler the loads, the more instances choose the same endpoint at once.
+const QUICK: u64 = 30;
+/// Peers up to which that holds; with more, the time grows with their number.
+const QUICK_PEERS: u64 = 8;
 /// Age from which a peer's load no longer counts, in milliseconds.
 const FRESH: u64 = 1_200;
 /// Silence after which a peer no longer shares budgets, in milliseconds.
@@ -84,6 +89,12 @@
         true
     }
 
+    /// Shortest time between two datagrams to a peer, in milliseconds.
+    pub fn quick(&self) -> u64 {
+        let n = self.0.len() as u64;
+        (QUICK * n.max(QUICK_PEERS) / QUICK_PEERS).min(EVERY)
+    }
+
     /// Addresses of all peers.
     pub fn addrs(&self) -> impl Iterator<Item = SocketAddr> {
         self.0.values().map(|p| p.addr)
