Take turns at endpoints that came free; sum peers' loads as they come

Change: while several instances have work waiting, each endpoint takes long prompts of one of them in each 40 ms, drawn alike everywhere.

--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -47,6 +47,10 @@
 /// still find some.
 const ROOM: [f64; 3] = [1.2, 1.0, 0.8];
 
+/// Time for which one instance may send queued work to an endpoint, in milliseconds: about the
+/// time after which the others have heard of it.
+const TURN: u64 = 40;
+
 /// What a request needs.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Ask {
@@ -132,6 +136,8 @@
     domain: String,
     endpoints: IndexMap<String, Endpoint>,
     border: usize,
+    /// This instance and those that have work waiting, as numbers.
+    turns: (u64, Vec<u64>),
 }
 
 impl Service {
@@ -176,6 +182,23 @@
         }
     }
 
+    /// Names this instance, and all instances that have work waiting.
+    pub fn contend(&mut self, me: u64, waiting: Vec<u64>) {
+        self.turns = (me, waiting);
+    }
+
+    /// True when queued work for an endpoint may come from this instance now. Room that shows at
+    /// an endpoint shows to all instances at once; they take turns at it.
+    fn has_turn(&self, now: Millis, id: &str) -> bool {
+        let (me, waiting) = &self.turns;
+        if waiting.iter().all(|w| w == me) {
+            return true;
+        }
+        let slot = now / TURN;
+        let key = |w: &u64| xxh3_64_with_seed(id.as_bytes(), w ^ slot.rotate_left(32));
+        waiting.iter().chain([me]).max_by_key(|w| key(w)) == Some(me)
+    }
+
     /// Chooses an endpoint.
     pub fn choose(&mut self, now: Millis, ask: &Ask) -> Choice {
         let usable = self.usable(now, ask);
@@ -249,6 +272,10 @@
         if guest && total.prefill + e.uncached(now, ask).total() > TIGHT_GUESTS {
             return false;
         }
+        let long = e.uncached(now, ask).total() > STEP;
+        if long && total.running > 0 && !self.has_turn(now, &e.listing.id) {
+            return false;
+        }
         let room = ask.room();
         let claimed = total.memory + ask.prompt + ask.output;
         let memory = f64::from(self.shape.memory) * MEMORY_PART;
--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -122,7 +122,6 @@
         else {
             return Turn::Bad;
         };
-        exchange.last_at = now;
         let events = match exchange.events.feed(data) {
             Events::Pass(events) => events,
             Events::Broken => return Turn::Bad,
@@ -130,9 +129,7 @@
         if events.is_empty() {
             return Turn::Again;
         }
-        if exchange.first_at.is_none() {
-            exchange.first_at = Some(now);
-        }
+        exchange.first_at.get_or_insert(now);
         let mut out = Vec::new();
         let begins = !exchange.streaming;
         exchange.streaming = true;
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -149,7 +149,6 @@
             events: Splitter::new(last),
             streaming: false,
             first_at: None,
-            last_at: 0,
         })
     }
 
@@ -285,7 +284,6 @@
         exchange.placed = Some(placed);
         exchange.sends += 1;
         exchange.sent_at = now;
-        exchange.last_at = now;
         exchange.link = Some(link);
         let bytes = exchange.bytes(&self.setup.names, endpoint, now);
         let method = exchange.head.method.clone();
--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -4,6 +4,7 @@
 
 use super::super::gossip::{self, Beat};
 use super::super::state::Ahead;
+use super::super::table::Service;
 use super::super::timers::Owner;
 use super::Driver;
 use super::outcome::{CRASHES, REFUSED};
@@ -48,7 +49,8 @@
         self.table = table;
         let table = std::sync::Arc::clone(&self.table);
         for (name, service) in &table.services {
-            let shape = Shape { batch: service.batch, memory: service.memory, gaps: service.gaps };
+            let Service { batch, memory, gaps, .. } = *service;
+            let shape = Shape { batch, memory, gaps };
             self.pool(name).place.shape = shape;
         }
     }
@@ -140,9 +142,12 @@
     }
 
     fn weigh_peers(&mut self, now: Millis) {
-        let loads = self.peers.loads(now);
+        self.peers.expire(now);
+        let me = gossip::number(&self.setup.name);
+        let waiting = self.peers.waiting(now);
         for pool in self.pools.values_mut() {
-            pool.place.peers(&loads);
+            pool.place.peers(self.peers.loads());
+            pool.place.contend(me, waiting.clone());
         }
     }
 
@@ -159,6 +164,7 @@
             ends: self.shared.ends(),
             loads: busy.map(|e| (e.listing.id.clone(), e.own)).collect(),
             parts,
+            waiting: self.queue.len() as u32,
             gone: self.gone.iter().map(|(_, id)| id.clone()).collect(),
             crashes: crashes.take(TOLD).collect(),
         }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -48,7 +48,6 @@
     /// The head of a stream has been passed on.
     pub(super) streaming: bool,
     pub(super) first_at: Option<Millis>,
-    pub(super) last_at: Millis,
 }
 
 impl Exchange {
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::adapter::clock::Millis;
 use crate::policy::place::Load;
@@ -40,6 +41,9 @@
     /// Its work by endpoint.
     #[serde(rename = "w")]
     pub loads: IndexMap<String, Load>,
+    /// Requests that wait there.
+    #[serde(rename = "q")]
+    pub waiting: u32,
     /// Shared prompt parts that it sent since its last datagram, by endpoint.
     #[serde(rename = "k")]
     pub parts: IndexMap<String, Vec<u64>>,
@@ -62,68 +66,106 @@
     pub heard: Millis,
 }
 
-/// All known peers by name.
+/// All known peers by name, and the sum of what the fresh ones do.
 #[derive(Debug, Default)]
-pub struct Peers(IndexMap<String, Peer>);
+pub struct Peers {
+    all: IndexMap<String, Peer>,
+    sum: IndexMap<String, Load>,
+}
 
 impl Peers {
     /// Takes over the names and addresses of the listed instances.
     pub fn sync(&mut self, listed: &[(String, SocketAddr)]) {
-        self.0.retain(|name, _| listed.iter().any(|(n, _)| n == name));
+        let unlisted = |name: &String| !listed.iter().any(|(n, _)| n == name);
+        let gone: Vec<String> = self.all.keys().filter(|n| unlisted(n)).cloned().collect();
+        for name in gone {
+            self.silence(&name);
+            self.all.shift_remove(&name);
+        }
         for (name, addr) in listed {
             let fresh = || Peer { addr: *addr, beat: Beat::default(), heard: 0 };
-            self.0.entry(name.clone()).or_insert_with(fresh).addr = *addr;
+            self.all.entry(name.clone()).or_insert_with(fresh).addr = *addr;
         }
     }
 
     /// True for the first datagram of a peer's life.
     pub fn is_new(&self, beat: &Beat) -> bool {
-        self.0.get(&beat.name).is_none_or(|p| p.heard == 0 || p.beat.life < beat.life)
+        self.all.get(&beat.name).is_none_or(|p| p.heard == 0 || p.beat.life < beat.life)
     }
 
     /// Takes a datagram; an older one than the last is dropped.
     pub fn hear(&mut self, now: Millis, from: SocketAddr, beat: Beat) -> bool {
         let fresh = || Peer { addr: from, beat: Beat::default(), heard: 0 };
-        let peer = self.0.entry(beat.name.clone()).or_insert_with(fresh);
+        let peer = self.all.entry(beat.name.clone()).or_insert_with(fresh);
         if (beat.life, beat.seq) <= (peer.beat.life, peer.beat.seq) && peer.heard > 0 {
             return false;
         }
+        for (id, load) in &peer.beat.loads {
+            self.sum.entry(id.clone()).or_default().sub(*load);
+        }
+        for (id, load) in &beat.loads {
+            self.sum.entry(id.clone()).or_default().add(*load);
+        }
         peer.addr = from;
         peer.beat = beat;
         peer.heard = now;
         true
     }
 
+    /// Takes a peer's work out of the sum.
+    fn silence(&mut self, name: &str) {
+        let Some(peer) = self.all.get_mut(name) else { return };
+        for (id, load) in std::mem::take(&mut peer.beat.loads) {
+            self.sum.entry(id).or_default().sub(load);
+        }
+    }
+
+    /// Forgets the work of peers that have been silent for too long.
+    pub fn expire(&mut self, now: Millis) {
+        let old = |p: &Peer| p.heard + FRESH <= now && !p.beat.loads.is_empty();
+        let old: Vec<String> =
+            self.all.iter().filter(|(_, p)| old(p)).map(|(n, _)| n.clone()).collect();
+        for name in old {
+            self.silence(&name);
+        }
+        self.sum.retain(|_, load| *load != Load::default());
+    }
+
     /// Shortest time between two datagrams to a peer, in milliseconds.
     pub fn quick(&self) -> u64 {
-        let n = self.0.len() as u64;
+        let n = self.all.len() as u64;
         (QUICK * n.max(QUICK_PEERS) / QUICK_PEERS).min(EVERY)
     }
 
     /// Addresses of all peers.
     pub fn addrs(&self) -> impl Iterator<Item = SocketAddr> {
-        self.0.values().map(|p| p.addr)
+        self.all.values().map(|p| p.addr)
     }
 
     /// All peers.
     pub fn all(&self) -> impl Iterator<Item = &Peer> {
-        self.0.values()
+        self.all.values()
     }
 
     /// Instances that share budgets: this one and the peers heard of late, or listed and not
     /// heard yet.
     pub fn sharers(&self, now: Millis) -> usize {
-        1 + self.0.values().filter(|p| p.heard == 0 || p.heard + SHARES > now).count()
+        1 + self.all.values().filter(|p| p.heard == 0 || p.heard + SHARES > now).count()
+    }
+
+    /// Numbers of the fresh peers where requests wait.
+    pub fn waiting(&self, now: Millis) -> Vec<u64> {
+        let busy = |p: &Peer| p.heard + FRESH > now && p.beat.waiting > 0;
+        self.all.iter().filter(|(_, p)| busy(p)).map(|(n, _)| number(n)).collect()
     }
 
     /// Work of all fresh peers by endpoint.
-    pub fn loads(&self, now: Millis) -> IndexMap<String, Load> {
-        let mut sum: IndexMap<String, Load> = IndexMap::new();
-        for peer in self.0.values().filter(|p| p.heard + FRESH > now) {
-            for (id, load) in &peer.beat.loads {
-                sum.entry(id.clone()).or_default().add(*load);
-            }
-        }
-        sum
+    pub fn loads(&self) -> &IndexMap<String, Load> {
+        &self.sum
     }
 }
+
+/// The number of an instance, for drawing turns.
+pub fn number(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -134,6 +134,32 @@
     assert_ne!(taken(&mut service, &layout(7)), Some(home));
 }
 
+#[test]
+fn instances_take_turns_at_room_that_shows_to_all_at_once() {
+    // lombada-ne scale-2: six instances sent a long prompt each within a millisecond to the one
+    // engine that had come free.
+    let busy = Load { running: 10, prefill: 10_000, memory: 100_000, tight: 0 };
+    let all: Vec<u64> = (1..=9).collect();
+    let (mut sent, mut idle) = (0, 0);
+    for slot in 0..200 {
+        let takes = |me: u64| {
+            let mut service = service(2);
+            service.shape.gaps = (0, 0);
+            service.peers(&(0..2).map(|i| (listing(i).id, busy)).collect());
+            service.contend(me, all.clone());
+            matches!(service.choose(slot * 40, &layout(7)), Choice::Take(..))
+        };
+        let n = all.iter().filter(|me| takes(**me)).count();
+        assert!(n <= 2, "one for each engine");
+        sent += n;
+        idle += usize::from(n == 0);
+    }
+    assert!(sent > 200 && idle == 0, "{sent} sent, {idle} turns unused");
+    let mut alone = service(2);
+    alone.contend(1, vec![1]);
+    assert!(taken(&mut alone, &layout(7)).is_some(), "without others there are no turns");
+}
+
 #[test]
 fn load_is_given_back_whole() {
     let mut service = service(4);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -221,11 +221,14 @@
     assert!(peers.hear(1_000, addr, beat("a", 1, 2, 3)));
     assert!(!peers.hear(1_001, addr, beat("a", 1, 1, 9)), "overtaken by a later one");
     assert!(peers.hear(1_002, addr, beat("b", 1, 1, 4)));
-    assert_eq!(peers.loads(1_100)["e"].running, 7);
+    assert_eq!(peers.loads()["e"].running, 7);
     assert!(peers.hear(1_200, addr, beat("a", 2, 1, 1)), "a restart begins anew");
-    assert_eq!(peers.loads(1_250)["e"].running, 5);
-    assert!(peers.loads(9_000).is_empty());
+    assert_eq!(peers.loads()["e"].running, 5);
+    peers.expire(9_000);
+    assert!(peers.loads().is_empty());
     assert_eq!(peers.sharers(1_300), 3);
+    peers.sync(&[]);
+    assert_eq!(peers.sharers(1_300), 1);
 }
 
 #[test]
