--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -106,8 +106,8 @@
 pub enum Choice {
     /// This endpoint takes the request; with the load that decided it.
     Take(String, Load),
-    /// All that may take it are full.
-    Full,
+    /// All that may take it are full, or it is another instance's turn; with the least load.
+    Full(Load),
     /// No endpoint may take it.
     Nobody,
 }
@@ -210,10 +210,10 @@
         let own = if tight { &parts.tight } else { &parts.loose };
         match self.cheapest(now, own, ask, false) {
             Some(id) => self.take(&id),
-            None if tight => Choice::Full,
+            None if tight => Choice::Full(self.least(own)),
             None => match self.cheapest(now, &parts.tight, ask, true) {
                 Some(id) => self.take(&id),
-                None => Choice::Full,
+                None => Choice::Full(self.least(own)),
             },
         }
     }
@@ -223,6 +223,12 @@
         Choice::Take(id.to_owned(), load)
     }
 
+    /// The least load of some endpoints.
+    fn least(&self, ids: &[String]) -> Load {
+        let loads = ids.iter().filter_map(|id| self.endpoints.get(id)).map(Endpoint::total);
+        loads.min_by_key(|l| (l.prefill, l.running)).unwrap_or_default()
+    }
+
     fn cheapest(&self, now: Millis, ids: &[String], ask: &Ask, guest: bool) -> Option<String> {
         let home = ask.shared().last().and_then(|(part, _)| home(*part, ids));
         let all = ids.iter().filter_map(|id| self.endpoints.get(id));
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -8,7 +8,7 @@
 use super::{Driver, Pool};
 use crate::adapter::clock::Millis;
 use crate::fleet::replica::Topic;
-use crate::policy::place::{Ask, Choice, Service};
+use crate::policy::place::{Ask, Choice, Load, Service};
 use crate::policy::suspect::Standing;
 use crate::policy::window::Window;
 
@@ -25,6 +25,15 @@
 /// Waits of one kind that are looked at before the rest of that kind is left alone.
 const MISSES: usize = 4;
 
+/// Whether a request could be sent.
+enum Sent {
+    Yes,
+    /// All endpoints are full; the least load among them.
+    Full(Load),
+    /// For another reason.
+    No(&'static str),
+}
+
 /// Why a request is refused by the relay.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Refused {
@@ -163,10 +172,12 @@
     /// Chooses an endpoint for a request, or lets it wait.
     pub(super) fn dispatch(&mut self, index: usize) {
         if self.waits_behind(index) {
-            return self.wait(index);
+            return self.wait(index, "behind others", Load::default());
         }
-        if !self.try_send(index) {
-            self.wait(index);
+        match self.try_send(index) {
+            Sent::Yes => {}
+            Sent::Full(least) => self.wait(index, "no room", least),
+            Sent::No(why) => self.wait(index, why, Load::default()),
         }
     }
 
@@ -180,7 +191,8 @@
         })
     }
 
-    fn wait(&mut self, index: usize) {
+    fn wait(&mut self, index: usize, why: &'static str, least: Load) {
+        self.log_wait(index, why, least);
         let serial = self.callers[index].serial;
         let Some(exchange) = self.callers[index].exchange.as_mut() else { return };
         if exchange.place.is_none() {
@@ -192,6 +204,27 @@
         self.timers.set(at, Owner::Caller(index, serial));
     }
 
+    fn log_wait(&self, index: usize, why: &'static str, least: Load) {
+        let Some(e) = self.callers[index].exchange.as_ref() else { return };
+        tracing::info!(
+            id = e.id,
+            route = e.route.name,
+            service = e.service,
+            version = e.version,
+            why,
+            queue = self.queue.len(),
+            running = least.running,
+            prefill = least.prefill,
+            list_age = self.list_age(),
+            "relay: waiting"
+        );
+    }
+
+    /// Age of the list of endpoints, in milliseconds.
+    fn list_age(&self) -> u64 {
+        self.clock.now().saturating_sub(self.shared.replica(Topic::Endpoints).heard())
+    }
+
     /// Tries to send each request that waits, in order.
     pub(super) fn drain_queue(&mut self) {
         if self.queue.is_empty() {
@@ -207,7 +240,7 @@
             if known.is_some_and(|i| missed[i].2 >= MISSES) {
                 continue;
             }
-            if self.try_send(index) {
+            if matches!(self.try_send(index), Sent::Yes) {
                 continue;
             }
             match known {
@@ -218,20 +251,24 @@
         self.stats.waiting.set(self.queue.len() as i64);
     }
 
-    /// Sends a request if an endpoint has room. Returns false when it has to wait.
-    fn try_send(&mut self, index: usize) -> bool {
+    /// Sends a request if an endpoint has room.
+    fn try_send(&mut self, index: usize) -> Sent {
         let now = self.clock.now();
-        let Some(exchange) = self.callers[index].exchange.as_ref() else { return true };
+        let Some(exchange) = self.callers[index].exchange.as_ref() else { return Sent::Yes };
         let (service, ask) = (exchange.service.clone(), exchange.ask.clone());
-        let Choice::Take(endpoint, load) = self.pool(&service).place.choose(now, &ask) else {
-            return false;
+        let (endpoint, load) = match self.pool(&service).place.choose(now, &ask) {
+            Choice::Take(endpoint, load) => (endpoint, load),
+            Choice::Full(least) => return Sent::Full(least),
+            Choice::Nobody => return Sent::No("no endpoint"),
+        };
+        let Some(link) = self.link_to(index, &service, &endpoint) else {
+            return Sent::No("no connection");
         };
-        let Some(link) = self.link_to(index, &service, &endpoint) else { return false };
         self.send(index, link, &endpoint, now);
         if let Some(exchange) = self.callers.get(index).and_then(|c| c.exchange.as_ref()) {
             let (id, route, version) = (&exchange.id, &exchange.route.name, exchange.version);
             let (send, waited) = (exchange.sends, now.saturating_sub(exchange.arrived));
-            let age = now.saturating_sub(self.shared.replica(Topic::Endpoints).heard());
+            let age = self.list_age();
             tracing::info!(
                 id,
                 route,
@@ -246,7 +283,7 @@
                 "relay: sent"
             );
         }
-        true
+        Sent::Yes
     }
 
     fn link_to(&mut self, index: usize, service: &str, endpoint: &str) -> Option<usize> {
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -44,7 +44,7 @@
 fn taken(service: &mut Service, ask: &Ask) -> Option<String> {
     match service.choose(0, ask) {
         Choice::Take(id, _) => Some(id),
-        Choice::Full | Choice::Nobody => None,
+        Choice::Full(_) | Choice::Nobody => None,
     }
 }
 
