--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -13,9 +13,9 @@
 
 use crate::adapter::clock::Millis;
 
-/// Prompt tokens that may wait for prefill on an engine before more is held back: about half a
-/// second of work on the engines of the site sheets.
-const PREFILL_LIMIT: f64 = 32_000.0;
+/// Prompt tokens that may wait for prefill on an engine, those of the next request included: about
+/// two thirds of a second of work on the engines of the site sheets.
+const PREFILL_LIMIT: f64 = 40_000.0;
 /// Part of a batch that is filled by choice; a fuller batch decodes too slowly.
 const BATCH_PART: f64 = 0.7;
 /// Part of an engine's memory that requests may claim; the rest holds shared prompt parts.
@@ -278,8 +278,8 @@
         if guest && total.prefill + e.uncached(now, ask).total() > TIGHT_GUESTS {
             return false;
         }
-        let long = e.uncached(now, ask).total() > STEP;
-        if long && total.running > 0 && !self.has_turn(now, &e.listing.id) {
+        let fresh = e.uncached(now, ask).total();
+        if fresh > STEP && total.running > 0 && !self.has_turn(now, &e.listing.id) {
             return false;
         }
         let room = ask.room();
@@ -287,7 +287,7 @@
         let memory = f64::from(self.shape.memory) * MEMORY_PART;
         total.running == 0
             || (f64::from(total.running) < f64::from(self.shape.batch) * BATCH_PART * room
-                && f64::from(total.prefill) <= PREFILL_LIMIT * room
+                && f64::from(total.prefill + fresh) <= PREFILL_LIMIT * room
                 && f64::from(claimed) <= memory)
     }
 
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -125,6 +125,8 @@
         registry.register(&mut udp, GOSSIP, Interest::READABLE)?;
         let waker = Waker::new(registry, WAKE)?;
         let now = clock.now();
+        let shared = Arc::new(Shared::new(now, waker));
+        shared.set_instances(vec![(setup.name.clone(), setup.peers)]);
         let mut timers = Timers::default();
         timers.set(now + gossip::EVERY, Owner::Gossip);
         Ok(Self {
@@ -134,7 +136,7 @@
             front,
             ready,
             udp,
-            shared: Arc::new(Shared::new(now, waker)),
+            shared,
             stats: Arc::default(),
             table: Arc::default(),
             pools: IndexMap::new(),
--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -28,6 +28,11 @@
         if let Some(instances) = news.instances {
             self.peers.sync(&instances);
         }
+        if let Some(known) = news.known {
+            let me = &self.setup.name;
+            let others: Vec<_> = known.into_iter().filter(|(name, _)| name != me).collect();
+            self.peers.add(&others);
+        }
         if news.stop && self.stopping.is_none() {
             tracing::info!(requests = self.callers.len(), "relay: stopping");
             self.stopping = Some(self.clock.now());
@@ -130,6 +135,8 @@
         let ahead: Vec<Ahead> = ahead.map(|p| Ahead { addr: p.addr, ends: p.beat.ends }).collect();
         self.stats.peers.set(ahead.len() as i64);
         self.shared.set_ahead(ahead);
+        let me = (self.setup.name.clone(), self.setup.peers);
+        self.shared.set_instances(self.peers.fresh(now).chain([me]).collect());
     }
 
     /// The load has changed: peers are told soon.
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -60,19 +60,21 @@
     fn listing(&self, key: &str, value: &[u8]) -> Result<Listing, String>;
 }
 
-/// Starts the threads of an instance that is called `name` and reached by peers at `addr`.
+/// Starts the threads of an instance: `me` is its name and where peers reach it, `seeds` are
+/// addresses of instances that may help at the start.
 pub fn start(
     source: &Arc<dyn Source>,
     shared: &Arc<Shared>,
     clock: &Clock,
     me: (String, SocketAddr),
+    seeds: Vec<SocketAddr>,
 ) {
     for topic in [Topic::Config, Topic::Endpoints] {
         let (source, shared, clock) = (Arc::clone(source), Arc::clone(shared), clock.clone());
         thread::spawn(move || Follower { source, shared, clock, topic }.run());
     }
     let (source2, shared2, clock2) = (Arc::clone(source), Arc::clone(shared), clock.clone());
-    thread::spawn(move || catch_up(&source2, &shared2, &clock2));
+    thread::spawn(move || catch_up(&source2, &shared2, &clock2, &seeds));
     let (source, shared, clock) = (Arc::clone(source), Arc::clone(shared), clock.clone());
     thread::spawn(move || meet(source.as_ref(), &shared, &clock, &me));
 }
@@ -172,8 +174,15 @@
 }
 
 /// Takes copies from peers that are further on while the platform doesn't answer here.
-fn catch_up(source: &Arc<dyn Source>, shared: &Arc<Shared>, clock: &Clock) {
+fn catch_up(source: &Arc<dyn Source>, shared: &Arc<Shared>, clock: &Clock, seeds: &[SocketAddr]) {
     let client = Client::new(PEER_CALL);
+    clock.sleep(LOOK);
+    while shared.ends() == (0, 0) && !seeds.is_empty() {
+        for seed in seeds {
+            begin_from(source.as_ref(), shared, clock, &client, *seed);
+        }
+        clock.sleep(LOOK);
+    }
     let mut behind = [0, 0];
     loop {
         clock.sleep(LOOK);
@@ -191,6 +200,26 @@
     }
 }
 
+/// Learns from a seed what the platform doesn't tell at the start: topics, and other instances.
+fn begin_from(
+    source: &dyn Source,
+    shared: &Shared,
+    clock: &Clock,
+    client: &Client,
+    seed: SocketAddr,
+) {
+    match client.get_packed(&format!("http://{seed}/replica/instances")) {
+        Ok(known) => shared.tell(|news| news.known = Some(known)),
+        Err(e) => {
+            tracing::info!(%seed, "follow: seed not read: {e}");
+            return;
+        }
+    }
+    for topic in [Topic::Config, Topic::Endpoints] {
+        take_from(source, shared, clock, client, topic, seed);
+    }
+}
+
 fn take_from(
     source: &dyn Source,
     shared: &Shared,
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -93,6 +93,14 @@
         self.all.get(&beat.name).is_none_or(|p| p.heard == 0 || p.beat.life < beat.life)
     }
 
+    /// Adds instances that a peer knows of.
+    pub fn add(&mut self, known: &[(String, SocketAddr)]) {
+        for (name, addr) in known {
+            let fresh = || Peer { addr: *addr, beat: Beat::default(), heard: 0 };
+            self.all.entry(name.clone()).or_insert_with(fresh);
+        }
+    }
+
     /// Takes a datagram; an older one than the last is dropped.
     pub fn hear(&mut self, now: Millis, from: SocketAddr, beat: Beat) -> bool {
         let fresh = || Peer { addr: from, beat: Beat::default(), heard: 0 };
@@ -142,6 +150,12 @@
         self.all.values().map(|p| p.addr)
     }
 
+    /// Names and addresses of the fresh peers.
+    pub fn fresh(&self, now: Millis) -> impl Iterator<Item = (String, SocketAddr)> {
+        let fresh = self.all.iter().filter(move |(_, p)| p.heard + FRESH > now);
+        fresh.map(|(name, p)| (name.clone(), p.addr))
+    }
+
     /// All peers.
     pub fn all(&self) -> impl Iterator<Item = &Peer> {
         self.all.values()
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -26,6 +26,9 @@
     match request.url().as_str() {
         "/replica/config" => replica(shared, Topic::Config),
         "/replica/endpoints" => replica(shared, Topic::Endpoints),
+        "/replica/instances" => {
+            Response::from_data(codec::MSGPACK, codec::pack(&shared.instances()))
+        }
         "/metrics" => metrics(stats),
         _ => Response::empty_404(),
     }
--- a/src/relay/state.rs
+++ b/src/relay/state.rs
@@ -26,6 +26,8 @@
     pub endpoints: Option<Vec<Listing>>,
     /// A changed list of instances.
     pub instances: Option<Vec<(String, SocketAddr)>>,
+    /// Instances that a peer knows of.
+    pub known: Option<Vec<(String, SocketAddr)>>,
     /// The process is to end.
     pub stop: bool,
 }
@@ -35,6 +37,7 @@
 pub struct Shared {
     news: Mutex<News>,
     ahead: Mutex<Vec<Ahead>>,
+    instances: Mutex<Vec<(String, SocketAddr)>>,
     config: Mutex<Replica>,
     endpoints: Mutex<Replica>,
     waker: mio::Waker,
@@ -46,6 +49,7 @@
         Self {
             news: Mutex::default(),
             ahead: Mutex::default(),
+            instances: Mutex::default(),
             config: Mutex::new(Replica::new(now)),
             endpoints: Mutex::new(Replica::new(now)),
             waker,
@@ -83,6 +87,16 @@
         *lock(&self.ahead) = list;
     }
 
+    /// Sets the instances heard of late, this one included.
+    pub fn set_instances(&self, list: Vec<(String, SocketAddr)>) {
+        *lock(&self.instances) = list;
+    }
+
+    /// The instances heard of late, this one included.
+    pub fn instances(&self) -> Vec<(String, SocketAddr)> {
+        lock(&self.instances).clone()
+    }
+
     /// The peer that has read a topic furthest.
     pub fn furthest(&self, topic: Topic) -> Option<(SocketAddr, u64)> {
         let end = |a: &Ahead| if topic == Topic::Config { a.ends.0 } else { a.ends.1 };
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -258,7 +258,7 @@
     let shared = Arc::new(Shared::new(0, waker));
     let flaky = Arc::new(Flaky::default());
     let source: Arc<dyn Source> = flaky.clone();
-    follow::start(&source, &shared, &Clock::system(), ("n".to_owned(), common::free()));
+    follow::start(&source, &shared, &Clock::system(), ("n".to_owned(), common::free()), Vec::new());
     common::until("four reads", || flaky.waits.lock().unwrap().len() >= 4);
     let waits = flaky.waits.lock().unwrap()[..4].to_vec();
     assert!(waits[0] > 0 && waits[2] == 0 && waits[3] > 0, "{waits:?}");
