--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -16,8 +16,11 @@
 /// Prompt tokens that may wait for prefill on an engine, those of the next request included: about
 /// two thirds of a second of work on the engines of the site sheets.
 const PREFILL_LIMIT: f64 = 40_000.0;
+/// Most of its own prompt tokens that count for a request there, so that the longest prompts find
+/// room too.
+const OWN_LIMIT: u32 = 16_000;
 /// Part of a batch that is filled by choice; a fuller batch decodes too slowly.
-const BATCH_PART: f64 = 0.7;
+const BATCH_PART: f64 = 0.85;
 /// Part of an engine's memory that requests may claim; the rest holds shared prompt parts.
 const MEMORY_PART: f64 = 0.8;
 /// Cost of a running request in prompt tokens: it slows every step a little.
@@ -27,7 +30,7 @@
 /// Plain requests held by an endpoint for each of its slots before more are held back.
 const PLAIN_DEPTH: f64 = 2.0;
 /// Tight streams that one engine of the tight part is meant to run, as part of its batch.
-const TIGHT_FILL: f64 = 0.45;
+const TIGHT_FILL: f64 = 0.55;
 /// Least and most part of the engines that serve tight streams only.
 const TIGHT_SHARE: (f64, f64) = (0.25, 0.5);
 /// A service is parted when its loosest target gap is this many times its tightest.
@@ -287,7 +290,7 @@
         let memory = f64::from(self.shape.memory) * MEMORY_PART;
         total.running == 0
             || (f64::from(total.running) < f64::from(self.shape.batch) * BATCH_PART * room
-                && f64::from(total.prefill + fresh) <= PREFILL_LIMIT * room
+                && f64::from(total.prefill + fresh.min(OWN_LIMIT)) <= PREFILL_LIMIT * room
                 && f64::from(claimed) <= memory)
     }
 
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -160,6 +160,16 @@
     assert!(taken(&mut alone, &layout(7)).is_some(), "without others there are no turns");
 }
 
+#[test]
+fn longest_prompts_find_room_beside_others() {
+    // lombada-ne quiet-1: prompts over the whole backlog waited for an idle engine.
+    let mut service = service(4);
+    let busy = Load { running: 5, prefill: 8_000, memory: 60_000, tight: 0 };
+    service.peers(&(0..4).map(|i| (listing(i).id, busy)).collect());
+    let ask = Ask { prompt: 54_600, parts: vec![(1, 54_600)], ..layout(7) };
+    assert!(taken(&mut service, &ask).is_some());
+}
+
 #[test]
 fn load_is_given_back_whole() {
     let mut service = service(4);
