--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -1,13 +1,17 @@
 //! Answers of endpoints on their way to callers.
 
-use super::super::link::{End, Link};
-use super::super::sse::Events;
-use super::super::stats::ByRoute;
-use super::super::table::Kind;
-use super::super::wire::{self, Decoder, Step};
+use slab::Slab;
+
 use super::Driver;
 use super::outcome::Cause;
 use crate::policy::attempt::Fact;
+use crate::relay::caller::Caller;
+use crate::relay::link::{End, Link};
+use crate::relay::names::Names;
+use crate::relay::sse::Events;
+use crate::relay::stats::ByRoute;
+use crate::relay::table::Kind;
+use crate::relay::wire::{self, Decoder, Step};
 
 /// Largest head of an answer, in bytes.
 const HEAD_LIMIT: usize = 64 << 10;
@@ -32,7 +36,7 @@
         loop {
             let Some(link) = self.links.get_mut(index) else { return };
             let turn = if link.head.is_none() {
-                Self::take_head(link, self.setup.names.attempt, &self.callers)
+                take_head(link, &self.setup.names, &self.callers)
             } else {
                 self.take_body(index)
             };
@@ -46,29 +50,6 @@
         }
     }
 
-    fn take_head(
-        link: &mut Link,
-        attempt: &str,
-        callers: &slab::Slab<super::super::caller::Caller>,
-    ) -> Turn {
-        let head = match wire::response(&link.input, HEAD_LIMIT) {
-            Ok(Some(head)) => head,
-            Ok(None) => return Turn::More,
-            Err(_) => return Turn::Bad,
-        };
-        link.input.drain(..head.size);
-        if (100..200).contains(&head.status) {
-            return if head.status == 101 { Turn::Bad } else { Turn::Again };
-        }
-        let Ok(framing) = wire::response_framing(&head, &link.method) else { return Turn::Bad };
-        let user = link.user.and_then(|u| callers.get(u.index));
-        let id = user.and_then(|c| c.exchange.as_ref()).map(|e| e.id.as_str());
-        link.foreign = head.get(attempt).is_some_and(|a| Some(a) != id);
-        link.decoder = Some(Decoder::new(framing));
-        link.head = Some(head);
-        Turn::Again
-    }
-
     fn take_body(&mut self, index: usize) -> Turn {
         let link = &mut self.links[index];
         let Some(decoder) = &mut link.decoder else { return Turn::Bad };
@@ -295,3 +276,26 @@
     let mut numbers = value.split(',').map(|n| n.trim().parse().ok());
     Some((numbers.next()??, numbers.next()??))
 }
+
+/// Takes the head of an answer. A success without the endpoint's seal is not its answer.
+fn take_head(link: &mut Link, names: &Names, callers: &Slab<Caller>) -> Turn {
+    let head = match wire::response(&link.input, HEAD_LIMIT) {
+        Ok(Some(head)) => head,
+        Ok(None) => return Turn::More,
+        Err(_) => return Turn::Bad,
+    };
+    link.input.drain(..head.size);
+    if (100..200).contains(&head.status) {
+        return if head.status == 101 { Turn::Bad } else { Turn::Again };
+    }
+    let Ok(framing) = wire::response_framing(&head, &link.method) else { return Turn::Bad };
+    let user = link.user.and_then(|u| callers.get(u.index));
+    let id = user.and_then(|c| c.exchange.as_ref()).map(|e| e.id.as_str());
+    link.foreign = head.get(names.attempt).is_some_and(|a| Some(a) != id);
+    if !link.foreign && (200..300).contains(&head.status) && head.count(names.seal) == 0 {
+        return Turn::Bad;
+    }
+    link.decoder = Some(Decoder::new(framing));
+    link.head = Some(head);
+    Turn::Again
+}
--- a/src/relay/driver/callers.rs
+++ b/src/relay/driver/callers.rs
@@ -5,11 +5,11 @@
 
 use mio::Interest;
 
-use super::super::caller::{Caller, Door, Progress, READ_AHEAD};
-use super::super::timers::Owner;
-use super::super::wire::{self, Bad};
 use super::{Driver, caller_token};
 use crate::adapter::clock::Millis;
+use crate::relay::caller::{Caller, Door, Progress, READ_AHEAD};
+use crate::relay::timers::Owner;
+use crate::relay::wire::{self, Bad};
 
 /// Time for which a closed connection is still read, so that its answer isn't reset away, in
 /// milliseconds.
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -1,16 +1,19 @@
 //! From a whole request to an endpoint: routes, keys, the queue, and the choice.
 
-use super::super::caller::Request;
-use super::super::exchange::{self, Exchange};
-use super::super::link::User;
-use super::super::sse::Splitter;
-use super::super::timers::Owner;
+use std::sync::Arc;
+
 use super::{Driver, Pool};
 use crate::adapter::clock::Millis;
 use crate::fleet::replica::Topic;
 use crate::policy::place::{Ask, Choice, Load, Service};
 use crate::policy::suspect::Standing;
 use crate::policy::window::Window;
+use crate::relay::caller::Request;
+use crate::relay::exchange::{self, Exchange};
+use crate::relay::link::User;
+use crate::relay::sse::Splitter;
+use crate::relay::stats::ByRoute;
+use crate::relay::timers::Owner;
 
 /// Part of its target for which a request waits for room.
 const PATIENCE_PART: f64 = 0.5;
@@ -105,7 +108,7 @@
 
     fn prepare(&mut self, request: Request) -> Result<Exchange, Refused> {
         let Request { head, body, arrived } = request;
-        let (table, names) = (std::sync::Arc::clone(&self.table), &self.setup.names);
+        let (table, names) = (Arc::clone(&self.table), &self.setup.names);
         if table.version == 0 {
             return Err(Refused::NoTable);
         }
@@ -138,7 +141,7 @@
         self.pool(&service).window.request(now);
         Ok(Exchange {
             id: head.get(self.setup.names.attempt).unwrap_or_default().to_owned(),
-            route: std::sync::Arc::clone(route),
+            route: Arc::clone(route),
             service,
             workspace: workspace.cloned(),
             head,
@@ -312,7 +315,7 @@
         }
         let route = exchange.route.name.clone();
         let waited = now.saturating_sub(exchange.arrived);
-        let label = super::super::stats::ByRoute { route };
+        let label = ByRoute { route };
         self.stats.waited.get_or_create(&label).observe(waited as f64 / 1_000.0);
         let ask: &Ask = &exchange.ask;
         let placed = self.pool(&exchange.service).place.start(now, endpoint, ask);
--- a/src/relay/driver/links.rs
+++ b/src/relay/driver/links.rs
@@ -6,10 +6,10 @@
 use mio::Interest;
 use mio::net::TcpStream;
 
-use super::super::link::{CONNECT, End, KEEP_ONCE, Link, User};
-use super::super::timers::Owner;
 use super::{Driver, link_token};
 use crate::adapter::clock::Millis;
+use crate::relay::link::{CONNECT, End, KEEP_ONCE, Link, User};
+use crate::relay::timers::Owner;
 
 /// Part of an endpoint's connections that the fleet uses.
 const CONNS_PART: f64 = 0.9;
--- a/src/relay/driver/outcome.rs
+++ b/src/relay/driver/outcome.rs
@@ -1,10 +1,10 @@
 //! How attempts and requests end.
 
-use super::super::stats::{ByCause, ByRoute, Finished};
 use super::dispatch::Refused;
 use super::{Broken, Driver};
 use crate::policy::attempt::{Fact, Next, Standing};
 use crate::policy::place::Endpoint;
+use crate::relay::stats::{ByCause, ByRoute, Finished};
 
 /// Endpoints that a content may crash before it is refused.
 pub(super) const CRASHES: u32 = 3;
--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -1,16 +1,18 @@
 //! News from other threads, and datagrams from and to peers.
 
 use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
 
-use super::super::gossip::{self, Beat};
-use super::super::state::Ahead;
-use super::super::table::Service;
-use super::super::timers::Owner;
 use super::Driver;
 use super::outcome::{CRASHES, REFUSED};
 use crate::adapter::clock::Millis;
 use crate::adapter::codec;
-use crate::policy::place::{Listing, Shape};
+use crate::policy::place::{Endpoint, Listing, Shape};
+use crate::relay::gossip::{self, Heartbeat};
+use crate::relay::state::Ahead;
+use crate::relay::table::{Service, Table};
+use crate::relay::timers::Owner;
 
 /// Crashes told in one datagram.
 const TOLD: usize = 40;
@@ -39,7 +41,7 @@
         }
     }
 
-    fn take_table(&mut self, table: std::sync::Arc<super::Table>) {
+    fn take_table(&mut self, table: Arc<Table>) {
         if table.version <= self.table.version {
             return;
         }
@@ -52,7 +54,7 @@
         );
         self.stats.version.set(to as i64);
         self.table = table;
-        let table = std::sync::Arc::clone(&self.table);
+        let table = Arc::clone(&self.table);
         for (name, service) in &table.services {
             let Service { batch, memory, gaps, .. } = *service;
             let shape = Shape { batch, memory, gaps };
@@ -158,13 +160,13 @@
         }
     }
 
-    fn beat(&mut self, now: Millis) -> Beat {
+    fn beat(&mut self, now: Millis) -> Heartbeat {
         let parts = std::mem::take(&mut self.parts);
         let places = self.pools.values().flat_map(|p| p.place.all());
         let busy = places.filter(|e| e.own.running > 0);
         let crashes = self.suspects.export(now).into_iter();
         let crashes = crashes.flat_map(|(c, ids)| ids.into_iter().map(move |id| (c, id)));
-        Beat {
+        Heartbeat {
             name: self.setup.name.clone(),
             life: self.life,
             seq: self.beats,
@@ -187,7 +189,7 @@
                     return;
                 }
             };
-            match codec::unpack::<Beat>(&self.buffer[..n]) {
+            match codec::unpack::<Heartbeat>(&self.buffer[..n]) {
                 Ok(beat) => self.take_beat(from, beat),
                 Err(e) => tracing::warn!(%from, "relay: datagram not understood: {e}"),
             }
@@ -195,7 +197,7 @@
         self.weigh_peers(self.clock.now());
     }
 
-    fn take_beat(&mut self, from: std::net::SocketAddr, beat: Beat) {
+    fn take_beat(&mut self, from: SocketAddr, beat: Heartbeat) {
         let now = self.clock.now();
         for (id, parts) in &beat.parts {
             let all = self.pools.values_mut().filter_map(|p| p.place.get_mut(id));
@@ -203,7 +205,7 @@
         }
         for id in &beat.gone {
             let all = self.pools.values_mut().filter_map(|p| p.place.get_mut(id));
-            all.for_each(crate::policy::place::Endpoint::mark_stale);
+            all.for_each(Endpoint::mark_stale);
         }
         for (content, endpoint) in &beat.crashes {
             if self.suspects.crashed(now, *content, endpoint, CRASHES, REFUSED) {
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -25,7 +25,7 @@
 
 /// One datagram.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Beat {
+pub struct Heartbeat {
     /// Name of the sender.
     #[serde(rename = "n")]
     pub name: String,
@@ -61,7 +61,7 @@
     /// Where it takes datagrams and calls.
     pub addr: SocketAddr,
     /// Its last datagram.
-    pub beat: Beat,
+    pub beat: Heartbeat,
     /// Time at which that came; 0 when it was never heard.
     pub heard: Millis,
 }
@@ -83,27 +83,27 @@
             self.all.shift_remove(&name);
         }
         for (name, addr) in listed {
-            let fresh = || Peer { addr: *addr, beat: Beat::default(), heard: 0 };
+            let fresh = || Peer { addr: *addr, beat: Heartbeat::default(), heard: 0 };
             self.all.entry(name.clone()).or_insert_with(fresh).addr = *addr;
         }
     }
 
     /// True for the first datagram of a peer's life.
-    pub fn is_new(&self, beat: &Beat) -> bool {
+    pub fn is_new(&self, beat: &Heartbeat) -> bool {
         self.all.get(&beat.name).is_none_or(|p| p.heard == 0 || p.beat.life < beat.life)
     }
 
     /// Adds instances that a peer knows of.
     pub fn add(&mut self, known: &[(String, SocketAddr)]) {
         for (name, addr) in known {
-            let fresh = || Peer { addr: *addr, beat: Beat::default(), heard: 0 };
+            let fresh = || Peer { addr: *addr, beat: Heartbeat::default(), heard: 0 };
             self.all.entry(name.clone()).or_insert_with(fresh);
         }
     }
 
     /// Takes a datagram; an older one than the last is dropped.
-    pub fn hear(&mut self, now: Millis, from: SocketAddr, beat: Beat) -> bool {
-        let fresh = || Peer { addr: from, beat: Beat::default(), heard: 0 };
+    pub fn hear(&mut self, now: Millis, from: SocketAddr, beat: Heartbeat) -> bool {
+        let fresh = || Peer { addr: from, beat: Heartbeat::default(), heard: 0 };
         let peer = self.all.entry(beat.name.clone()).or_insert_with(fresh);
         if (beat.life, beat.seq) <= (peer.beat.life, peer.beat.seq) && peer.heard > 0 {
             return false;
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -11,7 +11,7 @@
 use sassafrasworks::logs::Gate;
 use sassafrasworks::policy::place::{Listing, Load};
 use sassafrasworks::relay::follow::{self, Source, SourceError};
-use sassafrasworks::relay::gossip::{Beat, Peers};
+use sassafrasworks::relay::gossip::{Heartbeat, Peers};
 use sassafrasworks::relay::sse::{Events, Splitter};
 use sassafrasworks::relay::state::Shared;
 use sassafrasworks::relay::table::{Kind, Route, Service, Table};
@@ -264,10 +264,10 @@
     assert!(waits[0] > 0 && waits[2] == 0 && waits[3] > 0, "{waits:?}");
 }
 
-fn beat(name: &str, life: u64, seq: u64, running: u32) -> Beat {
+fn beat(name: &str, life: u64, seq: u64, running: u32) -> Heartbeat {
     let load = Load { running, prefill: 0, memory: 0, tight: 0 };
     let loads = [("e".to_owned(), load)].into_iter().collect();
-    Beat { name: name.to_owned(), life, seq, loads, ..Beat::default() }
+    Heartbeat { name: name.to_owned(), life, seq, loads, ..Heartbeat::default() }
 }
 
 #[test]
