--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -9,18 +9,12 @@
 use crate::policy::suspect::Standing;
 use crate::policy::window::Window;
 use crate::relay::caller::Request;
-use crate::relay::exchange::{self, Exchange};
+use crate::relay::exchange::Exchange;
 use crate::relay::link::User;
-use crate::relay::sse::Splitter;
 use crate::relay::stats::ByRoute;
+use crate::relay::table::{Route, Table, Workspace};
 use crate::relay::timers::Owner;
 
-/// Part of its target for which a request waits for room.
-const PATIENCE_PART: f64 = 0.5;
-/// Shortest and longest wait for room, in milliseconds.
-const PATIENCE: (u64, u64) = (150, 1_000);
-/// Part of its whole time that a request may wait for room.
-const PATIENCE_OF_DUE: f64 = 0.25;
 /// Time after which a caller may come back to another instance, in milliseconds.
 const RETRY_ELSEWHERE: u64 = 10;
 /// Time after which a caller may come back where nothing better is known, in milliseconds.
@@ -106,62 +100,30 @@
         }
     }
 
+    /// Checks a request against the table and against what is known of its content.
     fn prepare(&mut self, request: Request) -> Result<Exchange, Refused> {
-        let Request { head, body, arrived } = request;
         let (table, names) = (Arc::clone(&self.table), &self.setup.names);
         if table.version == 0 {
             return Err(Refused::NoTable);
         }
+        let head = &request.head;
         let host = head.get("host").unwrap_or_default();
         let route = table.route(host, &head.target).ok_or(Refused::NoRoute)?;
-        let workspace = match &table.keys {
-            Some(keys) if !route.public => {
-                let key = head.get(names.key).ok_or(Refused::NoKey)?;
-                Some(keys.get(key).ok_or(Refused::NoKey)?)
-            }
-            _ => None,
-        };
+        let workspace = workspace(&table, route, head.get(names.key))?;
         if head.count(names.attempt) != 1 || head.count("host") != 1 {
             return Err(Refused::NoAttempt);
         }
         if route.kind.streams() && self.late_in_stop() {
             return Err(Refused::Stopping);
         }
-        let service = route.service(rand::random()).ok_or(Refused::NoService)?.to_owned();
-        let content = exchange::content(&head, &body, workspace.map(AsRef::as_ref));
-        let mut ask = exchange::ask(names, &head, body.len(), route);
-        ask.rank = workspace.and_then(|w| w.priority).unwrap_or(route.priority);
-        let last = head.get(names.last_event).and_then(|v| v.parse().ok());
-        let given: Option<u64> = head.get(names.deadline).and_then(|v| v.parse().ok());
-        let time = given.unwrap_or(u64::MAX).min(route.timeout);
+        let service = route.service(rand::random()).ok_or(Refused::NoService)?;
         let now = self.clock.now();
-        if let Standing::Quarantined { .. } = self.suspects.standing(now, content) {
+        let exchange = Exchange::new(names, request, route, service, workspace, table.version);
+        if let Standing::Quarantined { .. } = self.suspects.standing(now, exchange.content) {
             return Err(Refused::Crashes);
         }
-        self.pool(&service).window.request(now);
-        Ok(Exchange {
-            id: head.get(self.setup.names.attempt).unwrap_or_default().to_owned(),
-            route: Arc::clone(route),
-            service,
-            workspace: workspace.cloned(),
-            head,
-            body,
-            ask,
-            content,
-            version: table.version,
-            arrived,
-            due: arrived + time,
-            patience: arrived + patience(route.target, time),
-            place: None,
-            sends: 0,
-            runs: 0,
-            link: None,
-            placed: None,
-            sent_at: 0,
-            events: Splitter::new(last),
-            streaming: false,
-            first_at: None,
-        })
+        self.pool(service).window.request(now);
+        Ok(exchange)
     }
 
     pub(super) fn pool(&mut self, service: &str) -> &mut Pool {
@@ -323,7 +285,6 @@
         self.parts.entry(endpoint.to_owned()).or_default().extend(parts);
         exchange.placed = Some(placed);
         exchange.sends += 1;
-        exchange.sent_at = now;
         exchange.link = Some(link);
         let bytes = exchange.bytes(&self.setup.names, endpoint, now);
         let method = exchange.head.method.clone();
@@ -335,8 +296,17 @@
     }
 }
 
-/// Time for which a request waits for room, in milliseconds.
-fn patience(target: u64, time: u64) -> u64 {
-    let wish = ((target as f64 * PATIENCE_PART) as u64).clamp(PATIENCE.0, PATIENCE.1);
-    wish.min((time as f64 * PATIENCE_OF_DUE) as u64)
+/// The workspace of a key; none on a public route, or where no keys are needed.
+fn workspace<'a>(
+    table: &'a Table,
+    route: &Route,
+    key: Option<&str>,
+) -> Result<Option<&'a Arc<Workspace>>, Refused> {
+    match &table.keys {
+        Some(keys) if !route.public => {
+            let key = key.ok_or(Refused::NoKey)?;
+            keys.get(key).map(Some).ok_or(Refused::NoKey)
+        }
+        _ => Ok(None),
+    }
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -4,6 +4,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::caller::Request;
 use super::names::Names;
 use super::queue::Place;
 use super::sse::Splitter;
@@ -16,6 +17,12 @@
 const LAST_PRIORITY: u8 = 9;
 /// Tokens of a prompt where the caller says nothing: bytes for each token.
 const BYTES_PER_TOKEN: usize = 4;
+/// Part of its target for which a request waits for room.
+const PATIENCE_PART: f64 = 0.5;
+/// Shortest and longest wait for room, in milliseconds.
+const PATIENCE: (u64, u64) = (150, 1_000);
+/// Part of its whole time that a request may wait for room.
+const PATIENCE_OF_DUE: f64 = 0.25;
 
 /// The request.
 #[derive(Debug)]
@@ -43,7 +50,6 @@
     pub(super) runs: u32,
     pub(super) link: Option<usize>,
     pub(super) placed: Option<Placed>,
-    pub(super) sent_at: Millis,
     pub(super) events: Splitter,
     /// The head of a stream has been passed on.
     pub(super) streaming: bool,
@@ -51,6 +57,45 @@
 }
 
 impl Exchange {
+    /// A request that was admitted under a version of the table.
+    pub(super) fn new(
+        names: &Names,
+        request: Request,
+        route: &Arc<Route>,
+        service: &str,
+        workspace: Option<&Arc<Workspace>>,
+        version: u64,
+    ) -> Self {
+        let Request { head, body, arrived } = request;
+        let mut ask = ask(names, &head, body.len(), route);
+        ask.rank = workspace.and_then(|w| w.priority).unwrap_or(route.priority);
+        let last = head.get(names.last_event).and_then(|v| v.parse().ok());
+        let given = head.get(names.deadline).and_then(|v| v.parse().ok());
+        let time = given.unwrap_or(u64::MAX).min(route.timeout);
+        Self {
+            id: head.get(names.attempt).unwrap_or_default().to_owned(),
+            route: Arc::clone(route),
+            service: service.to_owned(),
+            workspace: workspace.cloned(),
+            content: content(&head, &body, workspace.map(AsRef::as_ref)),
+            head,
+            body,
+            ask,
+            version,
+            arrived,
+            due: arrived + time,
+            patience: arrived + patience(route.target, time),
+            place: None,
+            sends: 0,
+            runs: 0,
+            link: None,
+            placed: None,
+            events: Splitter::new(last),
+            streaming: false,
+            first_at: None,
+        }
+    }
+
     pub(super) fn kind(&self) -> Kind {
         self.route.kind
     }
@@ -109,7 +154,7 @@
 }
 
 /// What a request needs of an endpoint, by its headers.
-pub(super) fn ask(names: &Names, head: &Head, body: usize, route: &Route) -> Ask {
+fn ask(names: &Names, head: &Head, body: usize, route: &Route) -> Ask {
     let parts = head.get(names.prefix).map(parts).unwrap_or_default();
     let (prompt, most) = head.get(names.tokens).and_then(pair).unwrap_or_default();
     let hint = head.get(names.hint).and_then(|h| h.parse().ok());
@@ -125,7 +170,7 @@
 }
 
 /// Hash of what a caller asks for.
-pub(super) fn content(head: &Head, body: &[u8], workspace: Option<&Workspace>) -> u64 {
+fn content(head: &Head, body: &[u8], workspace: Option<&Workspace>) -> u64 {
     let mut all = head.target.as_bytes().to_vec();
     all.extend_from_slice(workspace.map_or("", |w| w.name.as_str()).as_bytes());
     all.extend_from_slice(body);
@@ -143,3 +188,9 @@
     let (a, b) = value.split_once(',')?;
     Some((a.trim().parse().ok()?, b.trim().parse().ok()?))
 }
+
+/// Time for which a request waits for room, in milliseconds.
+fn patience(target: u64, time: u64) -> u64 {
+    let wish = ((target as f64 * PATIENCE_PART) as u64).clamp(PATIENCE.0, PATIENCE.1);
+    wish.min((time as f64 * PATIENCE_OF_DUE) as u64)
+}
