Let reads of the store wait longer in larger fleets

Up to 9 instances nothing changes; beyond, the wait grows with their number, so that the fleet's reads still end as often and a silent connection is noticed as soon. The list of instances is read every 30 s in place of 10.

--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -15,10 +15,15 @@
 /// Longest wait of a read for news, in milliseconds: within the bounds for a configuration and for
 /// a leaving endpoint, should the connection have gone silent.
 const WAIT: u64 = 2_500;
+/// Instances up to which that holds. With more, each waits longer: the reads of the fleet still
+/// end as often, so that one of them soon finds a connection silent, and tells the others.
+const WAIT_INSTANCES: u64 = 9;
+/// Longest wait of a read, however many instances there are, in milliseconds.
+const LONGEST_WAIT: u64 = 10_000;
 /// Pause after a read with news, in milliseconds: news that come in a row are read together.
 const PAUSE: u64 = 200;
-/// Time between two reads of the instances, in milliseconds.
-const INSTANCES_EVERY: u64 = 10_000;
+/// Time between two reads of the instances, in milliseconds: a new one greets all others itself.
+const INSTANCES_EVERY: u64 = 30_000;
 /// First and longest pause after a failed call, in milliseconds.
 const BACKOFF: (u64, u64) = (100, 800);
 /// Time between two looks at what peers have, in milliseconds.
@@ -79,6 +84,11 @@
     thread::spawn(move || meet(source.as_ref(), &shared, &clock, &me));
 }
 
+/// Longest wait of a read in a fleet of `instances`, in milliseconds.
+pub fn wait(instances: usize) -> u64 {
+    (WAIT * instances as u64 / WAIT_INSTANCES).clamp(WAIT, LONGEST_WAIT)
+}
+
 struct Follower {
     source: Arc<dyn Source>,
     shared: Arc<Shared>,
@@ -92,7 +102,8 @@
         let mut whole = true;
         let mut lost = false;
         loop {
-            match self.turn(whole, if lost { 0 } else { WAIT }) {
+            let wait = if lost { 0 } else { wait(self.shared.instances().len()) };
+            match self.turn(whole, wait) {
                 Ok(changed) => {
                     if lost {
                         tracing::info!(topic = ?self.topic, "follow: platform regained");
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -264,6 +264,17 @@
     assert!(waits[0] > 0 && waits[2] == 0 && waits[3] > 0, "{waits:?}");
 }
 
+#[test]
+fn reads_of_a_fleet_end_as_often_however_large_it_is() {
+    // zvykacka-hub-grown trouble-1, small twin: calls to the store cost 0.147.
+    let each = |n: usize| follow::wait(n) as f64 / n as f64;
+    for n in [9, 15, 22, 30, 36] {
+        assert!(each(n) <= follow::wait(9) as f64 / 9.0, "{n}: {}", each(n));
+    }
+    assert_eq!((follow::wait(1), follow::wait(9)), (2_500, 2_500));
+    assert!(follow::wait(750) <= 10_000);
+}
+
 fn beat(name: &str, life: u64, seq: u64, running: u32) -> Heartbeat {
     let load = Load { running, prefill: 0, memory: 0, tight: 0 };
     let loads = [("e".to_owned(), load)].into_iter().collect();
