--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -21,6 +21,8 @@
 const OWN_LIMIT: u32 = 16_000;
 /// Part of a batch that is filled by choice; a fuller batch decodes too slowly.
 const BATCH_PART: f64 = 0.85;
+/// Most of a batch that even the most urgent fill: in a full one they would preempt each other.
+const BATCH_MOST: f64 = 0.9;
 /// Part of an engine's memory that requests may claim; the rest holds shared prompt parts.
 const MEMORY_PART: f64 = 0.8;
 /// Cost of a running request in prompt tokens: it slows every step a little.
@@ -286,10 +288,11 @@
             return false;
         }
         let room = ask.room();
+        let batch = f64::from(self.shape.batch);
         let claimed = total.memory + ask.prompt + ask.output;
         let memory = f64::from(self.shape.memory) * MEMORY_PART;
         total.running == 0
-            || (f64::from(total.running) < f64::from(self.shape.batch) * BATCH_PART * room
+            || (f64::from(total.running) < batch * (BATCH_PART * room).min(BATCH_MOST)
                 && f64::from(total.prefill + fresh.min(OWN_LIMIT)) <= PREFILL_LIMIT * room
                 && f64::from(claimed) <= memory)
     }
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -160,6 +160,15 @@
     assert!(taken(&mut alone, &layout(7)).is_some(), "without others there are no turns");
 }
 
+#[test]
+fn urgent_requests_don_t_overfill_a_batch() {
+    // zvykacka-hub scale-2, seed 823636956831: 30 chats were preempted on one engine.
+    let mut service = service(4);
+    service.shape.batch = 32;
+    fill(&mut service, title, 500);
+    assert!(service.all().all(|e| e.own.running < 32));
+}
+
 #[test]
 fn longest_prompts_find_room_beside_others() {
     // lombada-ne quiet-1: prompts over the whole backlog waited for an idle engine.
