--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -43,6 +43,9 @@
 /// Discount at the endpoint that is meant to keep the parts, in prompt tokens: it decides where
 /// nobody keeps them yet.
 const HOME: f64 = 400.0;
+/// Time for which a request waits for an engine that keeps its shared parts, in milliseconds for
+/// each token that another one would read again: about four times the time of reading it.
+const AFFINITY_WAIT: f64 = 0.06;
 /// Prompt tokens that an engine reads in one step, at most.
 const STEP: u32 = 2_048;
 /// Prompt tokens that the tight part takes of requests without a tight gap: they pass between two
@@ -69,6 +72,8 @@
     pub gap: u64,
     /// Its priority, 0 first.
     pub rank: u8,
+    /// Time since it came, in milliseconds.
+    pub waited: u64,
     /// Endpoints that must not be chosen.
     pub avoid: Vec<String>,
 }
@@ -235,11 +240,16 @@
 
     fn cheapest(&self, now: Millis, some: &[usize], ask: &Ask, guest: bool) -> Option<usize> {
         let home = ask.shared().last().and_then(|(part, _)| self.home(*part, some));
+        let fresh: Vec<Fresh> =
+            some.iter().map(|i| self.endpoints[*i].uncached(now, ask)).collect();
+        let least = fresh.iter().map(|f| f.shared).min().unwrap_or_default();
         let mut best: Option<(f64, usize)> = None;
-        for &i in some {
+        for (&i, &fresh) in some.iter().zip(&fresh) {
             let e = &self.endpoints[i];
-            let fresh = e.uncached(now, ask);
-            if !self.has_room(now, e, ask, fresh, guest) {
+            let again = f64::from(fresh.shared - least);
+            if again * AFFINITY_WAIT > ask.waited as f64
+                || !self.has_room(now, e, ask, fresh, guest)
+            {
                 continue;
             }
             let cost = self.cost(e, fresh, home == Some(i));
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -225,7 +225,8 @@
     fn try_send(&mut self, index: usize) -> Sent {
         let now = self.clock.now();
         let Some(exchange) = self.callers[index].exchange.as_ref() else { return Sent::Yes };
-        let (service, ask) = (exchange.service.clone(), exchange.ask.clone());
+        let (service, mut ask) = (exchange.service.clone(), exchange.ask.clone());
+        ask.waited = now.saturating_sub(exchange.arrived);
         let (endpoint, load) = match self.pool(&service).place.choose(now, &ask) {
             Choice::Take(endpoint, load) => (endpoint, load),
             Choice::Full(least) => return Sent::Full(least),
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -165,6 +165,7 @@
         output: hint.unwrap_or(most).min(most.max(1)),
         gap: route.gap,
         rank: 0,
+        waited: 0,
         avoid: Vec::new(),
     }
 }
