Let a bounded number of instances read the platform, and hand on what changed

Now nine instances read, drawn by name among those that are alive and say that they reach the platform; the others take what they lack from a peer, drawn among those that are furthest, in their own domain first. An instance that stays behind reads itself, as does one that hears nobody. Lapsed entries travel with the time they have left, so that a return of the store does not take them away at instances that read from peers.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,4 +3,5 @@
 pub mod audit;
 pub mod config;
 pub mod peer;
+pub mod readers;
 pub mod replica;
--- a/src/fleet/replica.rs
+++ b/src/fleet/replica.rs
@@ -38,6 +38,9 @@
         /// Its value; `None` takes the key away.
         #[serde(with = "serde_bytes")]
         pub value: Option<Vec<u8>>,
+        /// Time after which the entry goes, in milliseconds, where it has lapsed.
+        #[serde(default)]
+        pub left: Option<u64>,
     }
 
     /// Records up to an end.
@@ -46,6 +49,9 @@
         pub end: u64,
         /// Records in order of offset.
         pub records: Vec<Record>,
+        /// Keys whose records are older than what was asked for.
+        #[serde(default)]
+        pub kept: Vec<String>,
     }
 }
 
@@ -64,6 +70,8 @@
     end: u64,
     entries: IndexMap<String, Entry>,
     heard: Millis,
+    /// Time at which a peer that had read as far had its last answer.
+    confirmed: Millis,
     /// A call has failed since the last answer.
     failed: bool,
     returned: Millis,
@@ -80,9 +88,16 @@
         self.end
     }
 
-    /// Time of the last answer of the platform.
+    /// Time at which the copy was last known to be up to date.
     pub fn heard(&self) -> Millis {
-        self.heard
+        self.heard.max(self.confirmed)
+    }
+
+    /// A peer that has read up to `end` had its last answer from the platform at `at`.
+    pub fn confirm(&mut self, at: Millis, end: u64) {
+        if end == self.end {
+            self.confirmed = self.confirmed.max(at);
+        }
     }
 
     /// A call to the platform brought no answer.
@@ -110,9 +125,9 @@
     pub fn reset(&mut self, now: Millis, batch: Batch) -> bool {
         self.answered(now);
         let mut changed = false;
-        let there: Vec<String> = batch.records.iter().map(|r| r.key.clone()).collect();
-        let gone: Vec<String> =
-            self.entries.keys().filter(|k| !there.contains(k)).cloned().collect();
+        let there =
+            |k: &String| batch.kept.contains(k) || batch.records.iter().any(|r| r.key == *k);
+        let gone: Vec<String> = self.entries.keys().filter(|k| !there(k)).cloned().collect();
         for key in gone {
             changed |= self.remove(now, &key);
         }
@@ -135,15 +150,22 @@
         changed
     }
 
-    /// The copy for a peer, without entries that have lapsed.
-    pub fn export(&self) -> Batch {
-        let kept = self.entries.iter().filter(|(_, e)| e.goes.is_none());
-        let records = kept.map(|(k, e)| Record {
+    /// True when a peer's copy builds on an entry that this one doesn't have.
+    pub fn lacks(&self, batch: &Batch) -> bool {
+        batch.kept.iter().any(|k| !self.entries.contains_key(k))
+    }
+
+    /// The copy at `now` for a peer that has read up to `from`.
+    pub fn export(&self, now: Millis, from: u64) -> Batch {
+        let fresh = |e: &Entry| e.offset >= from || e.goes.is_some();
+        let records = self.entries.iter().filter(|(_, e)| fresh(e)).map(|(k, e)| Record {
             offset: e.offset,
             key: k.clone(),
             value: Some(e.value.clone()),
+            left: e.goes.map(|at| at.saturating_sub(now)),
         });
-        Batch { end: self.end, records: records.collect() }
+        let kept = self.entries.iter().filter(|(_, e)| !fresh(e)).map(|(k, _)| k.clone());
+        Batch { end: self.end, records: records.collect(), kept: kept.collect() }
     }
 
     /// Drops entries that have lapsed for good. Returns true when one went.
@@ -162,11 +184,17 @@
     }
 
     fn apply(&mut self, now: Millis, record: Record) -> bool {
-        if self.entries.get(&record.key).is_some_and(|e| e.offset >= record.offset) {
+        if let Some(entry) = self.entries.get_mut(&record.key)
+            && entry.offset >= record.offset
+        {
+            if entry.offset == record.offset {
+                entry.goes = entry.goes.or(record.left.map(|left| now + left));
+            }
             return false;
         }
         let Some(value) = record.value else { return self.remove(now, &record.key) };
-        let fresh = Entry { offset: record.offset, value, goes: None };
+        let goes = record.left.map(|left| now + left);
+        let fresh = Entry { offset: record.offset, value, goes };
         let old = self.entries.insert(record.key, fresh.clone());
         old.is_none_or(|o| o.value != fresh.value || o.goes.is_some())
     }
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -186,7 +186,7 @@
     }
 
     /// Age of the list of endpoints, in milliseconds.
-    fn list_age(&self) -> u64 {
+    pub(super) fn list_age(&self) -> u64 {
         self.clock.now().saturating_sub(self.shared.replica(Topic::Endpoints).heard())
     }
 
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -132,7 +132,7 @@
         registry.register(&mut udp, GOSSIP, Interest::READABLE)?;
         let waker = Waker::new(registry, WAKE)?;
         let now = clock.now();
-        let shared = Arc::new(Shared::new(now, waker));
+        let shared = Arc::new(Shared::new(clock.clone(), waker));
         shared.set_instances(vec![(setup.name.clone(), setup.peers)]);
         let mut timers = Timers::default();
         timers.set(now + gossip::EVERY, Owner::Gossip);
--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -10,8 +10,10 @@
 use super::outcome::{CRASHES, REFUSED};
 use crate::adapter::clock::Millis;
 use crate::adapter::codec;
+use crate::fleet::readers;
+use crate::fleet::replica::Topic;
 use crate::policy::place::{Endpoint, Listing, Load, Shape};
-use crate::relay::gossip::{self, Heartbeat};
+use crate::relay::gossip::{self, Heartbeat, Peer};
 use crate::relay::state::Ahead;
 use crate::relay::table::{Service, Table};
 use crate::relay::timers::Owner;
@@ -55,6 +57,7 @@
             "relay: configuration in force"
         );
         self.stats.version.set(to as i64);
+        self.tell_soon();
         self.table = table;
         let table = Arc::clone(&self.table);
         for (name, service) in &table.services {
@@ -81,6 +84,7 @@
         }
         self.listed = true;
         self.drop_unlisted();
+        self.tell_soon();
     }
 
     fn log_changes(&mut self, service: &str, listings: &[Listing]) {
@@ -135,14 +139,29 @@
             }
         }
         self.weigh_peers(now);
-        let ahead = self.peers.all().filter(|p| p.heard > 0);
-        let ahead: Vec<Ahead> = ahead.map(|p| Ahead { addr: p.addr, ends: p.beat.ends }).collect();
-        self.stats.peers.set(ahead.len() as i64);
-        self.shared.set_ahead(ahead);
+        self.compare_copies(now);
         let me = (self.setup.name.clone(), self.setup.peers);
         self.shared.set_instances(self.peers.fresh(now).chain([me]).collect());
     }
 
+    /// Takes stock of how far the peers have read, and whether this instance has to read.
+    fn compare_copies(&mut self, now: Millis) {
+        let near = |p: &Peer| p.beat.domain == self.setup.domain;
+        let ahead = |p: &Peer| Ahead { addr: p.addr, ends: p.beat.ends, near: near(p) };
+        let ahead: Vec<Ahead> = self.peers.alive(now).map(ahead).collect();
+        self.stats.peers.set(ahead.len() as i64);
+        self.shared.set_ahead(ahead);
+        let reaching = self.peers.alive(now).filter(|p| !p.beat.lost);
+        let reads = readers::reads(&self.setup.name, reaching.map(|p| p.beat.name.as_str()));
+        if self.shared.set_reads(reads) {
+            tracing::info!(reads, "relay: role at the platform changed");
+        }
+        let mut endpoints = self.shared.replica(Topic::Endpoints);
+        for p in self.peers.alive(now) {
+            endpoints.confirm(p.heard.saturating_sub(p.beat.age), p.beat.ends.1);
+        }
+    }
+
     /// The load has changed: peers are told soon.
     pub(super) fn tell_soon(&mut self) {
         let at = self.clock.now().max(self.gossiped + self.peers.quick());
@@ -193,6 +212,9 @@
             name: self.setup.name.clone(),
             life: self.life,
             seq: self.beats,
+            domain: self.setup.domain.clone(),
+            lost: self.shared.is_lost(),
+            age: self.list_age(),
             ends: self.shared.ends(),
             whole,
             loads,
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -9,28 +9,30 @@
 use super::table::Table;
 use crate::adapter::clock::Clock;
 use crate::adapter::http::Client;
+use crate::fleet::readers::READERS;
 use crate::fleet::replica::{Batch, Topic};
 use crate::policy::place::Listing;
 
 /// Longest wait of a read for news, in milliseconds: within the bounds for a configuration and for
 /// a leaving endpoint, should the connection have gone silent.
 const WAIT: u64 = 2_500;
-/// Instances up to which that holds. With more, each waits longer: the reads of the fleet still
-/// end as often, so that one of them soon finds a connection silent, and tells the others.
-const WAIT_INSTANCES: u64 = 9;
-/// Longest wait of a read, however many instances there are, in milliseconds.
-const LONGEST_WAIT: u64 = 10_000;
 /// Pause after a read with news, in milliseconds: news that come in a row are read together.
 const PAUSE: u64 = 200;
 /// Time between two reads of the instances, in milliseconds: a new one greets all others itself.
 const INSTANCES_EVERY: u64 = 30_000;
 /// First and longest pause after a failed call, in milliseconds.
 const BACKOFF: (u64, u64) = (100, 800);
+/// Longest such pause in a large fleet, where one instance that reaches the platform again tells
+/// all others, in milliseconds.
+const LONGEST_BACKOFF: u64 = 4_000;
 /// Time between two looks at what peers have, in milliseconds.
 const LOOK: u64 = 150;
 /// Looks in a row that must find a peer ahead before it is asked: a read of our own is faster
 /// where the platform answers.
 const BEHIND: u32 = 2;
+/// Looks in a row after which the platform is read, whoever is to read it: peers that can be heard
+/// may be out of reach.
+const STUCK: u32 = 5;
 /// Bound on a call to a peer, in milliseconds.
 const PEER_CALL: u64 = 400;
 
@@ -84,9 +86,9 @@
     thread::spawn(move || meet(source.as_ref(), &shared, &clock, &me));
 }
 
-/// Longest wait of a read in a fleet of `instances`, in milliseconds.
-pub fn wait(instances: usize) -> u64 {
-    (WAIT * instances as u64 / WAIT_INSTANCES).clamp(WAIT, LONGEST_WAIT)
+/// Longest pause after a failed call in a fleet of `instances`, in milliseconds.
+pub fn longest_backoff(instances: usize) -> u64 {
+    (BACKOFF.1 * (instances / READERS) as u64).clamp(BACKOFF.1, LONGEST_BACKOFF)
 }
 
 struct Follower {
@@ -102,13 +104,19 @@
         let mut whole = true;
         let mut lost = false;
         loop {
-            let wait = if lost { 0 } else { wait(self.shared.instances().len()) };
+            let stuck = self.shared.is_stuck(self.topic);
+            if !whole && !self.shared.reads() && !stuck {
+                self.clock.sleep(LOOK);
+                continue;
+            }
+            let wait = if lost || stuck { 0 } else { WAIT };
             match self.turn(whole, wait) {
                 Ok(changed) => {
                     if lost {
                         tracing::info!(topic = ?self.topic, "follow: platform regained");
                     }
                     (lost, whole, backoff) = (false, false, BACKOFF.0);
+                    self.shared.set_lost(self.topic, false);
                     if changed {
                         publish(self.source.as_ref(), &self.shared, self.topic);
                         self.clock.sleep(PAUSE);
@@ -124,8 +132,10 @@
                         tracing::warn!(topic = ?self.topic, "follow: platform lost: {e}");
                     }
                     lost = true;
+                    self.shared.set_lost(self.topic, true);
                     self.clock.sleep(backoff + rand::random_range(0..=backoff / 2));
-                    backoff = (backoff * 2).min(BACKOFF.1);
+                    let longest = longest_backoff(self.shared.instances().len());
+                    backoff = (backoff * 2).min(longest);
                 }
             }
         }
@@ -204,6 +214,7 @@
             let end = shared.replica(topic).end();
             let Some((addr, theirs)) = shared.furthest(topic) else { continue };
             *looks = if theirs > end { *looks + 1 } else { 0 };
+            shared.set_stuck(topic, *looks >= STUCK);
             if *looks >= BEHIND {
                 take_from(source.as_ref(), shared, clock, &client, topic, addr);
             }
@@ -240,7 +251,14 @@
     addr: SocketAddr,
 ) {
     let path = if topic == Topic::Config { "config" } else { "endpoints" };
-    match client.get_packed::<Batch>(&format!("http://{addr}/replica/{path}")) {
+    let url = |from| format!("http://{addr}/replica/{path}?from={from}");
+    let from = shared.replica(topic).end();
+    let news = client.get_packed::<Batch>(&url(from));
+    let news = match news {
+        Ok(batch) if shared.replica(topic).lacks(&batch) => client.get_packed(&url(0)),
+        news => news,
+    };
+    match news {
         Ok(batch) => {
             let end = batch.end;
             let changed = shared.replica(topic).adopt(clock.now(), batch);
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -41,6 +41,15 @@
     /// How far it has read the configuration and the endpoints.
     #[serde(rename = "e")]
     pub ends: (u64, u64),
+    /// Its failure domain.
+    #[serde(rename = "d")]
+    pub domain: String,
+    /// The platform doesn't answer there.
+    #[serde(rename = "x")]
+    pub lost: bool,
+    /// Time since its copy of the endpoints was known to be up to date, in milliseconds.
+    #[serde(rename = "o")]
+    pub age: u64,
     /// True when `loads` has all of its work; else what changed since its last datagram.
     #[serde(rename = "a")]
     pub whole: bool,
@@ -174,6 +183,11 @@
         fresh.map(|(name, p)| (name.clone(), p.addr))
     }
 
+    /// The fresh peers.
+    pub fn alive(&self, now: Millis) -> impl Iterator<Item = &Peer> {
+        self.all.values().filter(move |p| p.heard + FRESH > now)
+    }
+
     /// All peers.
     pub fn all(&self) -> impl Iterator<Item = &Peer> {
         self.all.values()
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -24,8 +24,8 @@
 
 fn route(request: &Request, shared: &Shared, stats: &Stats) -> Response {
     match request.url().as_str() {
-        "/replica/config" => replica(shared, Topic::Config),
-        "/replica/endpoints" => replica(shared, Topic::Endpoints),
+        "/replica/config" => replica(request, shared, Topic::Config),
+        "/replica/endpoints" => replica(request, shared, Topic::Endpoints),
         "/replica/instances" => {
             Response::from_data(codec::MSGPACK, codec::pack(&shared.instances()))
         }
@@ -34,8 +34,9 @@
     }
 }
 
-fn replica(shared: &Shared, topic: Topic) -> Response {
-    let batch = shared.replica(topic).export();
+fn replica(request: &Request, shared: &Shared, topic: Topic) -> Response {
+    let from = request.get_param("from").and_then(|n| n.parse().ok()).unwrap_or_default();
+    let batch = shared.export(topic, from);
     Response::from_data(codec::MSGPACK, codec::pack(&batch))
 }
 
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -3,18 +3,20 @@
 
 mod common;
 
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use sassafrasworks::adapter::clock::Clock;
+use sassafrasworks::fleet::readers::{self, READERS};
 use sassafrasworks::fleet::replica::{Batch, LAPSE, OUTAGE, Record, Replica, Topic};
 use sassafrasworks::logs::Gate;
 use sassafrasworks::policy::place::{Listing, Load};
 use sassafrasworks::relay::follow::{self, Source, SourceError};
 use sassafrasworks::relay::gossip::{Heartbeat, Peers};
 use sassafrasworks::relay::sse::{Events, Splitter};
-use sassafrasworks::relay::state::Shared;
+use sassafrasworks::relay::state::{Ahead, Shared};
 use sassafrasworks::relay::table::{Kind, Route, Service, Table};
 use sassafrasworks::relay::wire::{self, Bad, Decoder, Framing, Step};
 
@@ -153,11 +155,12 @@
 }
 
 fn record(offset: u64, key: &str, value: Option<&str>) -> Record {
-    Record { offset, key: key.to_owned(), value: value.map(|v| v.as_bytes().to_vec()) }
+    let value = value.map(|v| v.as_bytes().to_vec());
+    Record { offset, key: key.to_owned(), value, left: None }
 }
 
 fn batch(end: u64, records: Vec<Record>) -> Batch {
-    Batch { end, records }
+    Batch { end, records, kept: Vec::new() }
 }
 
 fn keys(replica: &Replica) -> Vec<&str> {
@@ -217,10 +220,12 @@
 #[derive(Default)]
 struct Flaky {
     waits: Mutex<Vec<u64>>,
+    whole: AtomicU32,
 }
 
 impl Source for Flaky {
     fn newest(&self, _: Topic) -> Result<Batch, SourceError> {
+        self.whole.fetch_add(1, Ordering::SeqCst);
         Ok(batch(0, Vec::new()))
     }
 
@@ -256,7 +261,7 @@
     // that a removal a second later was taken for a lapse.
     let poll = mio::Poll::new().unwrap();
     let waker = mio::Waker::new(poll.registry(), mio::Token(0)).unwrap();
-    let shared = Arc::new(Shared::new(0, waker));
+    let shared = Arc::new(Shared::new(Clock::manual(0), waker));
     let flaky = Arc::new(Flaky::default());
     let source: Arc<dyn Source> = flaky.clone();
     follow::start(&source, &shared, &Clock::system(), ("n".to_owned(), common::free()), Vec::new());
@@ -265,15 +270,84 @@
     assert!(waits[0] > 0 && waits[2] == 0 && waits[3] > 0, "{waits:?}");
 }
 
+/// The instances that read, where all know of each other and some have lost the platform.
+fn reading(names: &[String], lost: &[String]) -> Vec<String> {
+    let reads = |me: &&String| {
+        let others = names.iter().filter(|o| o != me && !lost.contains(o));
+        readers::reads(me, others.map(String::as_str))
+    };
+    names.iter().filter(reads).cloned().collect()
+}
+
 #[test]
-fn reads_of_a_fleet_end_as_often_however_large_it_is() {
-    // zvykacka-hub-grown trouble-1, small twin: calls to the store cost 0.147.
-    let each = |n: usize| follow::wait(n) as f64 / n as f64;
-    for n in [9, 15, 22, 30, 36] {
-        assert!(each(n) <= follow::wait(9) as f64 / 9.0, "{n}: {}", each(n));
+fn calls_to_the_platform_don_t_grow_with_the_fleet() {
+    // lombada-ne-grown trouble-1: 7,188 calls of 85 instances cost 0.072.
+    for n in [1, 9, 85, 750] {
+        let names: Vec<String> = (0..n).map(|i| format!("edge-{i}")).collect();
+        assert_eq!(reading(&names, &[]).len(), n.min(READERS));
+        assert_eq!(names.iter().filter(|n| readers::reads(n, [].into_iter())).count(), n);
     }
-    assert_eq!((follow::wait(1), follow::wait(9)), (2_500, 2_500));
-    assert!(follow::wait(750) <= 10_000);
+    assert!(follow::longest_backoff(9) == 800 && follow::longest_backoff(750) == 4_000);
+}
+
+#[test]
+fn next_instance_reads_where_one_loses_the_platform() {
+    let names: Vec<String> = (0..85).map(|i| format!("edge-{i}")).collect();
+    let before = reading(&names, &[]);
+    let lost: Vec<String> = before.iter().take(4).cloned().collect();
+    let after = reading(&names, &lost);
+    assert!(before.iter().all(|n| after.contains(n)), "those that lost it go on trying");
+    assert_eq!(after.len(), READERS + 4);
+}
+
+#[test]
+fn copy_for_a_peer_has_what_it_lacks() {
+    let mut near = two_entries();
+    let mut far = two_entries();
+    near.append(1, batch(4, vec![record(2, "a", None), record(3, "c", Some("3"))]));
+    let news = near.export(1, far.end());
+    assert_eq!((news.records.len(), news.kept.as_slice()), (1, ["b".to_owned()].as_slice()));
+    assert!(!far.lacks(&news) && Replica::new(0).lacks(&news));
+    assert!(far.adopt(1, news));
+    assert_eq!(keys(&far), ["b", "c"]);
+}
+
+#[test]
+fn lapsed_entry_goes_at_the_same_time_on_a_peer() {
+    let mut near = two_entries();
+    near.fail();
+    near.append(OUTAGE + 1, batch(2, Vec::new()));
+    near.append(OUTAGE + 2, batch(3, vec![record(2, "a", None)]));
+    let mut far = two_entries();
+    far.adopt(OUTAGE + 2, near.export(OUTAGE + 2, far.end()));
+    assert_eq!(keys(&far), ["a", "b"], "it may come back");
+    assert!(!far.expire(OUTAGE + LAPSE) && far.expire(OUTAGE + LAPSE + 1));
+    assert_eq!(keys(&far), ["b"]);
+}
+
+#[test]
+fn age_of_a_copy_counts_a_peer_s_word_only_where_it_is_as_far() {
+    let mut replica = two_entries();
+    replica.confirm(900, 1);
+    assert_eq!(replica.heard(), 0);
+    replica.confirm(900, 2);
+    assert_eq!(replica.heard(), 900);
+}
+
+#[test]
+fn instance_that_need_not_read_leaves_the_platform_alone_until_it_is_stuck() {
+    let poll = mio::Poll::new().unwrap();
+    let waker = mio::Waker::new(poll.registry(), mio::Token(0)).unwrap();
+    let shared = Arc::new(Shared::new(Clock::system(), waker));
+    shared.set_reads(false);
+    let flaky = Arc::new(Flaky::default());
+    let source: Arc<dyn Source> = flaky.clone();
+    follow::start(&source, &shared, &Clock::system(), ("n".to_owned(), common::free()), Vec::new());
+    common::until("both topics are read whole", || flaky.whole.load(Ordering::SeqCst) >= 3);
+    assert!(flaky.waits.lock().unwrap().is_empty(), "no read after that");
+    shared.set_ahead(vec![Ahead { addr: common::free(), ends: (0, 5), near: true }]);
+    common::until("a read", || !flaky.waits.lock().unwrap().is_empty());
+    assert_eq!(flaky.waits.lock().unwrap()[0], 0, "news are known to be there");
 }
 
 fn beat(name: &str, life: u64, seq: u64, running: u32) -> Heartbeat {
