Compare priorities of workspaces first, then those of routes; tell crashes in whole datagrams only

The priority for engines and queues is now the workspace's times three plus the route's; room at engines goes by the route's.

--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -206,13 +206,14 @@
             self.whole_at = now + gossip::WHOLE_EVERY;
         }
         let loads = self.loads_to_tell(whole);
-        let crashes = self.suspects.export(now).into_iter();
+        let crashes = if whole { self.suspects.export(now) } else { Vec::new() }.into_iter();
         let crashes = crashes.flat_map(|(c, ids)| ids.into_iter().map(move |id| (c, id)));
+        let gone = self.gone.iter().filter(|(at, _)| whole || at + gossip::EVERY > now);
         Heartbeat {
             name: self.setup.name.clone(),
             life: self.life,
             seq: self.beats,
-            domain: self.setup.domain.clone(),
+            domain: if whole { self.setup.domain.clone() } else { String::new() },
             lost: self.shared.is_lost(),
             age: self.list_age(),
             ends: self.shared.ends(),
@@ -221,7 +222,7 @@
             parts,
             tight: self.tight_waiting(),
             waiting: self.queue.len() as u32,
-            gone: self.gone.iter().map(|(_, id)| id.clone()).collect(),
+            gone: gone.map(|(_, id)| id.clone()).collect(),
             crashes: crashes.take(TOLD).collect(),
         }
     }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -15,6 +15,8 @@
 
 /// Lowest priority that an engine knows.
 const LAST_PRIORITY: u8 = 9;
+/// Priorities of routes that are told apart inside one of a workspace.
+const ROUTE_PRIORITIES: u8 = 3;
 /// Tokens of a prompt where the caller says nothing: bytes for each token.
 const BYTES_PER_TOKEN: usize = 4;
 /// Part of its target for which a request waits for room.
@@ -68,7 +70,7 @@
     ) -> Self {
         let Request { head, body, arrived } = request;
         let mut ask = ask(names, &head, body.len(), route);
-        ask.rank = workspace.and_then(|w| w.priority).unwrap_or(route.priority);
+        ask.rank = route.priority;
         let last = head.get(names.last_event).and_then(|v| v.parse().ok());
         let given = head.get(names.deadline).and_then(|v| v.parse().ok());
         let time = given.unwrap_or(u64::MAX).min(route.timeout);
@@ -100,10 +102,11 @@
         self.route.kind
     }
 
-    /// Its priority: that of the workspace, else that of the route.
+    /// Its priority: first by the workspace, then by the route.
     pub(super) fn priority(&self) -> u8 {
-        let own = self.workspace.as_ref().and_then(|w| w.priority);
-        own.unwrap_or(self.route.priority).min(LAST_PRIORITY)
+        let workspace = self.workspace.as_ref().and_then(|w| w.priority).unwrap_or_default();
+        let route = self.route.priority.min(ROUTE_PRIORITIES - 1);
+        workspace.saturating_mul(ROUTE_PRIORITIES).saturating_add(route).min(LAST_PRIORITY)
     }
 
     /// The bytes for an endpoint.
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -41,7 +41,7 @@
     /// How far it has read the configuration and the endpoints.
     #[serde(rename = "e")]
     pub ends: (u64, u64),
-    /// Its failure domain.
+    /// Its failure domain, where `whole`.
     #[serde(rename = "d")]
     pub domain: String,
     /// The platform doesn't answer there.
@@ -68,7 +68,7 @@
     /// Incarnations that it found gone from their address.
     #[serde(rename = "g")]
     pub gone: Vec<String>,
-    /// Crashes by content: hash and endpoint incarnation.
+    /// Crashes by content, where `whole`: hash and endpoint incarnation.
     #[serde(rename = "c")]
     pub crashes: Vec<(u64, String)>,
 }
@@ -141,6 +141,9 @@
         }
         loads.retain(|_, load| *load != Load::default());
         beat.loads = loads;
+        if !beat.whole {
+            beat.domain = std::mem::take(&mut peer.beat.domain);
+        }
         peer.addr = from;
         peer.beat = beat;
         peer.heard = now;
--- a/src/relay/table.rs
+++ b/src/relay/table.rs
@@ -109,7 +109,7 @@
 pub struct Workspace {
     /// Its name.
     pub name: String,
-    /// Its priority, which goes before that of the route.
+    /// Its priority, which is compared before that of the route.
     pub priority: Option<u8>,
 }
 
