Read a new configuration from the platform before asking peers for it

Endpoints, a few KB, still come from peers first. The test was red before: the peer was asked first.

--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -214,14 +214,26 @@
             let end = shared.replica(topic).end();
             let Some((addr, theirs)) = shared.furthest(topic) else { continue };
             *looks = if theirs > end { *looks + 1 } else { 0 };
-            shared.set_stuck(topic, *looks >= STUCK);
-            if *looks >= BEHIND {
+            let reads = shared.reads();
+            let (own, peers) = patience(topic, !reads && !shared.is_lost());
+            shared.set_stuck(topic, !reads && *looks >= own);
+            if *looks >= peers {
                 take_from(source.as_ref(), shared, clock, &client, topic, addr);
             }
         }
     }
 }
 
+/// Looks in a row at a peer that is ahead, after which an instance that need not read does so, and
+/// after which it asks a peer. A configuration can be large, and links of instances slow: what a few
+/// would have to send to all others, each of these reads from the platform where it `reaches` that.
+fn patience(topic: Topic, reaches: bool) -> (u32, u32) {
+    match topic {
+        Topic::Config if reaches => (1, STUCK),
+        _ => (STUCK, BEHIND),
+    }
+}
+
 /// Learns from a seed what the platform doesn't tell at the start: topics, and other instances.
 fn begin_from(
     source: &dyn Source,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -221,6 +221,8 @@
 struct Flaky {
     waits: Mutex<Vec<u64>>,
     whole: AtomicU32,
+    /// Reads of the configuration.
+    config: AtomicU32,
 }
 
 impl Source for Flaky {
@@ -231,6 +233,7 @@
 
     fn read(&self, topic: Topic, _: u64, wait: u64) -> Result<Batch, SourceError> {
         if topic != Topic::Endpoints {
+            self.config.fetch_add(1, Ordering::SeqCst);
             std::thread::sleep(Duration::from_millis(wait));
             return Ok(batch(0, Vec::new()));
         }
@@ -334,6 +337,25 @@
     assert_eq!(replica.heard(), 900);
 }
 
+#[test]
+fn instance_behind_on_the_configuration_reads_it_before_it_asks_peers() {
+    // zvykacka-hub-grown hunt-b735-7, CONFIG: 65 instances asked nine for a configuration of 1,856
+    // routes over links of 10 Mbit/s, and each call ran out of time.
+    let poll = mio::Poll::new().unwrap();
+    let waker = mio::Waker::new(poll.registry(), mio::Token(0)).unwrap();
+    let shared = Arc::new(Shared::new(Clock::system(), waker));
+    shared.set_reads(false);
+    let flaky = Arc::new(Flaky::default());
+    let source: Arc<dyn Source> = flaky.clone();
+    follow::start(&source, &shared, &Clock::system(), ("n".to_owned(), common::free()), Vec::new());
+    common::until("both topics are read whole", || flaky.whole.load(Ordering::SeqCst) >= 3);
+    let peer = std::net::TcpListener::bind(common::free()).unwrap();
+    peer.set_nonblocking(true).unwrap();
+    shared.set_ahead(vec![Ahead { addr: peer.local_addr().unwrap(), ends: (5, 0), near: true }]);
+    common::until("a read", || flaky.config.load(Ordering::SeqCst) > 0);
+    assert!(peer.accept().is_err(), "the peer was asked first");
+}
+
 #[test]
 fn instance_that_need_not_read_leaves_the_platform_alone_until_it_is_stuck() {
     let poll = mio::Poll::new().unwrap();
