Count crashes of engines that have not reported yet

Cause: an instance that has just started sends requests before the first load report of an engine has arrived. Ruled out: counting a crash without an incarnation, which a later report could never revoke, so that cuts would quarantine harmless contents. Change: a request whose endpoint was never polled waits for the first poll, at most 1 s.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -126,7 +126,7 @@
         };
         loop {
             let grant = match attempts.acquire_grant(trace, is_cancelled) {
-                Ok(grant) => grant,
+                Ok(grant) => attempts.identify(grant),
                 Err(Some(failure)) => {
                     return RequestResult::Failed { failure, sent: attempts.sent };
                 }
@@ -209,6 +209,16 @@
         }
     }
 
+    /// Completes a grant with the incarnation of its endpoint, if that was not polled before.
+    fn identify(&self, mut grant: Grant) -> Grant {
+        if !grant.boot.is_empty() {
+            return grant;
+        }
+        self.entry.await_first_poll(&grant.endpoint);
+        grant.boot = self.dispatcher.read(|pool| pool.boot(&grant.endpoint).to_owned());
+        grant
+    }
+
     /// Failure of a request whose content is quarantined until the given time.
     fn quarantine_failure(&self, until: Millis) -> Failure {
         let text = "this content crashes the endpoints that run it and is refused for a while";
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -15,6 +15,8 @@
 const REPORT_TIMEOUT: u64 = 1_000;
 /// Interval between reads of the instance list, in milliseconds.
 const LIST_INTERVAL: u64 = 1_000;
+/// Interval between two checks whether an endpoint has been polled, in milliseconds.
+const FIRST_POLL_CHECK: u64 = 5;
 
 /// The instance list as last read.
 #[derive(Debug, Default)]
@@ -23,6 +25,8 @@
     read_at: Millis,
     /// Names of the endpoints that have a polling thread.
     polled: IndexSet<String>,
+    /// Names of those whose first poll is complete, whether it got a report or not.
+    tried: IndexSet<String>,
 }
 
 impl Members {
@@ -89,6 +93,15 @@
         lock(&self.members).instances.iter().find(|i| i.name == name).cloned()
     }
 
+    /// Waits until the first poll of an endpoint is complete, at most as long as one may take.
+    /// Without a report, its incarnation is unknown and a crash there could not be counted.
+    pub(super) fn await_first_poll(&self, endpoint: &str) {
+        let until = self.now() + REPORT_TIMEOUT;
+        while !lock(&self.members).tried.contains(endpoint) && self.now() < until {
+            self.clock.sleep(FIRST_POLL_CHECK);
+        }
+    }
+
     /// The other entry instances in the list.
     pub(super) fn peer_instances(&self) -> Vec<Instance> {
         let members = lock(&self.members);
@@ -106,7 +119,9 @@
         let (inner, name) = (Arc::clone(entry), instance.name.clone());
         thread::spawn(move || {
             poll(&inner, &name);
-            lock(&inner.members).polled.swap_remove(&name);
+            let mut members = lock(&inner.members);
+            members.polled.swap_remove(&name);
+            members.tried.swap_remove(&name);
         });
     }
 }
@@ -125,6 +140,7 @@
             }
             dispatcher.with(now, |pool| pool.apply_report(now, name, report));
         }
+        lock(&entry.members).tried.insert(name.to_owned());
         entry.clock.sleep(entry.settings.poll);
     }
 }
--- a/src/policy/pool/mod.rs
+++ b/src/policy/pool/mod.rs
@@ -233,6 +233,11 @@
         }
     }
 
+    /// Current boot id of an endpoint; empty while unknown.
+    pub fn boot(&self, endpoint: &str) -> &str {
+        self.endpoints.get(endpoint).map_or("", Endpoint::boot)
+    }
+
     /// Names and boot ids of the endpoints that are leaving.
     pub fn leaving_endpoints(&self) -> Vec<(String, String)> {
         let leaving = self.endpoints.values().filter(|e| e.leaving);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -160,6 +160,28 @@
     rig.assert_no_violations();
 }
 
+/// Delay of each chunk between an instance and the engines, in milliseconds: it keeps the first
+/// load reports away from an instance that has just started.
+const SLOW_START: u64 = 200;
+
+#[test]
+fn crashes_before_the_first_report_of_an_engine_count() {
+    let config = RigConfig { entries: 1, engines: 5, ..RigConfig::default() };
+    let mut rig = Rig::start(&config);
+    rig.entries[0].kill();
+    rig.set_proxy_faults("engine-", proxy::Fault::Delay(SLOW_START));
+    rig.entries[0].start();
+    until("the instance is ready", || rig.entries[0].ready());
+    let mut last = Response::default();
+    for _ in 0..3 {
+        last = rig.entries[0].caller().stream("spine-1", "poison len=9", 99).unwrap();
+    }
+    assert_eq!((last.status, last.code.as_str()), (422, "quarantined"), "{last:?}");
+    let crashes = rig.world.engines.values().map(|e| e.totals().crashes).sum::<u64>();
+    assert_eq!(crashes, CRASH_LIMIT);
+    rig.assert_no_violations();
+}
+
 #[test]
 fn cuts_are_not_taken_for_crashes() {
     let rig = Rig::start(&RigConfig { engines: 4, ..RigConfig::default() });
