Place by predicted time: work ahead of a request, patience, and the tight partition

Cause: placement counted in tokens that suit engines of 66 tokens/ms and targets of 2 s. Change: each instance fits the time to the first event linearly to the prompt tokens ahead (policy/place/speed.rs) and shares its sums in full heartbeats; work ahead on an engine is bounded by 0.15 of the target, the wait for cached segments by a quarter of it; engines are partitioned wherever some target gap is over 1.25 times the tightest.

--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -7,20 +7,21 @@
 //! once; the loss of a quarter of the engines at once.
 
 mod endpoint;
+mod speed;
 
 pub use endpoint::{Endpoint, Listing, Load, Uncached};
+pub use speed::{Samples, Speed};
 
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::adapter::clock::Millis;
 
-/// Maximum prompt tokens pending prefill on an engine, including the new request's: about two
-/// thirds of a second of work on the engines that the site sheets describe.
-const PREFILL_LIMIT: f64 = 40_000.0;
-/// Maximum uncached tokens of the new request that count towards [`PREFILL_LIMIT`], so that the
-/// longest prompts can be placed too.
-const REQUEST_PREFILL_LIMIT: u32 = 16_000;
+/// Maximum predicted time of the prefill pending on an engine that takes a new request, as a
+/// fraction of the request's target. What waits here instead goes to the first engine with room.
+const AHEAD_FRACTION: f64 = 0.15;
+/// Target time to the first event of a request whose route has none, in milliseconds.
+const DEFAULT_TARGET_MS: f64 = 1_000.0;
 /// Fraction of a batch that is filled normally; a fuller batch decodes too slowly.
 const BATCH_FRACTION: f64 = 0.85;
 /// Maximum fraction of a batch even for the most urgent priority: in a full batch, requests would
@@ -38,18 +39,17 @@
 const TIGHT_FILL: f64 = 0.55;
 /// Minimum and maximum fraction of the engines in the tight partition.
 const TIGHT_SHARE: (f64, f64) = (0.25, 0.8);
-/// A service is partitioned if its loosest target gap is at least this many times its tightest.
-const PARTITION_RATIO: u64 = 2;
 /// Cost per token of computing a shared segment on one more engine: the work is done twice, and the
 /// segment takes memory twice.
 const RECOMPUTE_COST: f64 = 6.0;
 /// Discount for the home endpoint of the shared segments, in prompt tokens: it decides while no
 /// endpoint has them cached.
 const HOME_DISCOUNT: f64 = 400.0;
-/// Time for which a request waits for an engine that has its shared segments cached, in
-/// milliseconds per token that another engine would have to recompute: about four times the time of
-/// prefill.
-const AFFINITY_MS: f64 = 0.06;
+/// Time for which a request waits for an engine that has its shared segments cached, in times that
+/// another engine would take to recompute them.
+const PATIENCE: f64 = 4.0;
+/// Maximum of that time, as a fraction of the request's target.
+const MAX_PATIENCE_FRACTION: f64 = 0.25;
 /// Maximum prompt tokens that an engine processes in one step.
 const STEP_TOKENS: u32 = 2_048;
 /// Maximum prompt tokens pending prefill on an engine of the tight partition when it takes an
@@ -75,6 +75,8 @@
     pub prompt: u32,
     /// Expected output tokens.
     pub output: u32,
+    /// Target time to the first event, in milliseconds; 0 for none.
+    pub target: u64,
     /// Target gap: longest pause allowed between events, in milliseconds; 0 for none.
     pub gap: u64,
     /// Priority; 0 is the most urgent.
@@ -91,6 +93,11 @@
         &self.segments[..self.segments.len().saturating_sub(1)]
     }
 
+    /// Target time to the first event, in milliseconds.
+    fn target(&self) -> f64 {
+        if self.target > 0 { self.target as f64 } else { DEFAULT_TARGET_MS }
+    }
+
     fn priority_factor(&self) -> f64 {
         PRIORITY_FACTORS[usize::from(self.priority).min(PRIORITY_FACTORS.len() - 1)]
     }
@@ -109,12 +116,17 @@
 
 impl Profile {
     fn is_partitioned(&self) -> bool {
-        self.batch > 0 && self.gaps.0 > 0 && self.gaps.1 >= PARTITION_RATIO * self.gaps.0
+        self.batch > 0 && self.gaps.0 > 0 && !self.is_near_tightest(self.gaps.1)
     }
 
     /// True if requests with this target gap go to the tight partition.
     pub fn is_tight(&self, gap: u64) -> bool {
-        self.is_partitioned() && gap > 0 && gap * 4 <= self.gaps.0 * 5
+        self.is_partitioned() && gap > 0 && self.is_near_tightest(gap)
+    }
+
+    /// True for a target gap of at most 1.25 times the tightest.
+    fn is_near_tightest(&self, gap: u64) -> bool {
+        gap * 4 <= self.gaps.0 * 5
     }
 }
 
@@ -138,6 +150,12 @@
     pub load: Load,
     /// Prompt tokens not cached at the endpoint when the request was sent, as far as known.
     pub uncached: Uncached,
+    /// Time of the send.
+    pub sent_at: Millis,
+    /// Prompt tokens that the endpoint had to compute until the first event, as far as known.
+    pub work: u32,
+    /// Predicted time until the first event, in milliseconds.
+    pub predicted: u64,
 }
 
 /// The endpoints of one service as one instance sees them.
@@ -153,6 +171,9 @@
     tight_count: usize,
     /// Requests with a tight gap that wait in the whole fleet.
     tight_waiting: u32,
+    /// What requests of this instance, and of the others, have shown of the engines' speed.
+    samples: (Samples, Samples),
+    speed: Speed,
     /// Number of this instance, and the numbers of all instances that have queued work.
     turns: (u64, Vec<u64>),
 }
@@ -209,6 +230,23 @@
         self.turns = (me, waiting);
     }
 
+    /// What this instance's requests have shown of the engines' speed, for the other instances.
+    pub fn samples(&self) -> Samples {
+        self.samples.0
+    }
+
+    /// Sets what the requests of the other instances have shown of the engines' speed.
+    pub fn set_peer_samples(&mut self, samples: Samples) {
+        self.samples.1 = samples;
+        self.fit_speed();
+    }
+
+    fn fit_speed(&mut self) {
+        let (mut all, peers) = self.samples;
+        all.merge(&peers);
+        self.speed = all.speed();
+    }
+
     /// Sets the number of requests with a tight gap that wait in the whole fleet.
     pub fn set_tight_waiting(&mut self, tight: u32) {
         self.tight_waiting = tight;
@@ -258,7 +296,7 @@
     }
 
     /// The candidate of lowest cost that has capacity. One that lacks cached segments is skipped
-    /// until the request has waited long enough; see [`AFFINITY_MS`].
+    /// until the request has waited long enough; see [`PATIENCE`].
     fn cheapest(
         &self,
         now: Millis,
@@ -273,8 +311,8 @@
         let mut best: Option<(f64, usize)> = None;
         for (&i, &uncached) in candidates.iter().zip(&uncached) {
             let e = &self.endpoints[i];
-            let extra = f64::from(uncached.shared - least);
-            if extra * AFFINITY_MS > needs.waited as f64
+            let extra = uncached.shared - least;
+            if self.patience(needs, extra) > needs.waited as f64
                 || !self.has_capacity(now, e, needs, uncached, overflow)
             {
                 continue;
@@ -287,6 +325,12 @@
         best.map(|(_, i)| i)
     }
 
+    /// Time for which a request waits for an engine that has its shared segments cached, in
+    /// milliseconds, rather than have `extra` tokens recomputed.
+    fn patience(&self, needs: &Requirements, extra: u32) -> f64 {
+        (PATIENCE * self.speed.ms(extra)).min(MAX_PATIENCE_FRACTION * needs.target())
+    }
+
     /// Indices of the endpoints that may serve the request, in order: the healthy ones, or all that
     /// accept work if fewer than a third of them are healthy.
     fn usable(&self, now: Millis, needs: &Requirements) -> Vec<usize> {
@@ -346,8 +390,7 @@
         total.running == 0
             || (f64::from(total.running)
                 < batch * (BATCH_FRACTION * factor).min(MAX_BATCH_FRACTION)
-                && f64::from(total.prefill + uncached.min(REQUEST_PREFILL_LIMIT))
-                    <= PREFILL_LIMIT * factor
+                && self.speed.ms(total.prefill) <= AHEAD_FRACTION * needs.target() * factor
                 && f64::from(claimed) <= memory)
     }
 
@@ -381,18 +424,30 @@
             tight: u32::from(tight),
         };
         let mut uncached = Uncached::default();
+        let mut work = 0;
         if let Some(e) = self.endpoints.get_mut(id) {
             uncached = e.uncached(now, needs);
             load.prefill = uncached.total();
+            work = e.total().prefill + load.prefill;
             e.mark_cached(now, needs.shared().iter().map(|(id, _)| *id));
             e.own.add(load);
         }
-        Placement { endpoint: id.to_owned(), load, uncached }
+        Placement {
+            endpoint: id.to_owned(),
+            load,
+            uncached,
+            sent_at: now,
+            work,
+            predicted: self.speed.predict(work) as u64,
+        }
     }
 
-    /// Removes the prefill load of a request. Called on its first event, which shows that prefill
-    /// is complete.
-    pub fn finish_prefill(&mut self, placement: &mut Placement) {
+    /// Removes the prefill load of a request, and learns from the time it took. Called on its first
+    /// event, which shows that prefill is complete.
+    pub fn finish_prefill(&mut self, now: Millis, placement: &mut Placement) {
+        let took = now.saturating_sub(placement.sent_at);
+        self.samples.0.record(placement.work, took, self.speed.predict(placement.work));
+        self.fit_speed();
         if let Some(e) = self.endpoints.get_mut(&placement.endpoint) {
             e.own.prefill = e.own.prefill.saturating_sub(placement.load.prefill);
         }
--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -128,11 +128,12 @@
 
     /// Removes the prefill load of a request: its first event shows that prefill is complete.
     fn finish_prefill(&mut self, caller: usize) {
+        let now = self.clock.now();
         let Some(exchange) = self.callers[caller].exchange.as_mut() else { return };
         let service = exchange.service.clone();
         let Some(mut placement) = exchange.placement.take() else { return };
         if placement.load.prefill > 0 {
-            self.pool(&service).balancer.finish_prefill(&mut placement);
+            self.pool(&service).balancer.finish_prefill(now, &mut placement);
             self.schedule_heartbeat();
         }
         if let Some(exchange) = self.callers[caller].exchange.as_mut() {
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -256,7 +256,9 @@
             let (id, route, version) = (&exchange.id, &exchange.route.name, exchange.version);
             let (send, waited) = (exchange.sends, now.saturating_sub(exchange.arrived));
             let age = self.list_age();
-            let uncached = exchange.placement.as_ref().map(|p| p.uncached).unwrap_or_default();
+            let placement = exchange.placement.as_ref();
+            let uncached = placement.map(|p| p.uncached).unwrap_or_default();
+            let predicted = placement.map_or(0, |p| p.predicted);
             tracing::info!(
                 id,
                 route,
@@ -269,6 +271,7 @@
                 prefill = load.prefill,
                 shared = uncached.shared,
                 own = uncached.own,
+                predicted,
                 list_age = age,
                 "relay: sent"
             );
--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -12,7 +12,7 @@
 use crate::adapter::codec;
 use crate::fleet::readers;
 use crate::fleet::replica::Topic;
-use crate::policy::place::{Endpoint, Listing, Load, Profile};
+use crate::policy::place::{Endpoint, Listing, Load, Profile, Samples};
 use crate::relay::gossip::{self, Heartbeat, Peer};
 use crate::relay::state::PeerOffsets;
 use crate::relay::table::{RoutingTable, Service};
@@ -145,6 +145,9 @@
             }
         }
         self.apply_peer_loads(now);
+        for (name, pool) in &mut self.pools {
+            pool.balancer.set_peer_samples(self.peers.samples(now, name));
+        }
         self.update_replicas(now);
         let me = (self.setup.name.clone(), self.setup.peers);
         self.shared.set_instances(self.peers.alive_addrs(now).chain([me]).collect());
@@ -244,9 +247,16 @@
             waiting: self.queue.len() as u32,
             stale: stale.map(|(_, id)| id.clone()).collect(),
             crashes: crashes.take(MAX_SENT_CRASHES).collect(),
+            speeds: if full { self.speeds() } else { IndexMap::new() },
         }
     }
 
+    /// What this instance's requests have shown of the engines' speed, by service.
+    fn speeds(&self) -> IndexMap<String, Samples> {
+        let engines = self.pools.iter().filter(|(_, p)| p.balancer.profile.batch > 0);
+        engines.map(|(name, p)| (name.clone(), p.balancer.samples())).collect()
+    }
+
     /// Load of this instance by endpoint: all of it if `full`, otherwise what has changed since the
     /// last heartbeat.
     fn loads_to_send(&mut self, full: bool) -> IndexMap<String, Load> {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -174,6 +174,7 @@
         segments,
         prompt,
         output: hint.unwrap_or(most).min(most.max(1)),
+        target: route.target_latency,
         gap: route.gap,
         priority: 0,
         waited: 0,
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -7,7 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::adapter::clock::Millis;
-use crate::policy::place::Load;
+use crate::policy::place::{Load, Samples};
 
 /// Maximum interval between datagrams to a peer, in milliseconds.
 pub const INTERVAL: u64 = 400;
@@ -77,6 +77,9 @@
     /// Crashes by content, if `full`: hash of the content and endpoint incarnation.
     #[serde(rename = "c")]
     pub crashes: Vec<(u64, String)>,
+    /// What the sender's requests have shown of the engines' speed, by service, if `full`.
+    #[serde(rename = "v", default)]
+    pub speeds: IndexMap<String, Samples>,
 }
 
 /// Another instance of the fleet.
@@ -154,6 +157,7 @@
         heartbeat.loads = loads;
         if !heartbeat.full {
             heartbeat.domain = std::mem::take(&mut peer.heartbeat.domain);
+            heartbeat.speeds = std::mem::take(&mut peer.heartbeat.speeds);
         }
         peer.addr = from;
         peer.heartbeat = heartbeat;
@@ -235,6 +239,14 @@
         alive.filter_map(|p| p.heartbeat.tight.get(service)).sum()
     }
 
+    /// What the requests of alive peers have shown of the speed of a service's engines.
+    pub fn samples(&self, now: Millis, service: &str) -> Samples {
+        let mut all = Samples::default();
+        let known = self.alive(now).filter_map(|p| p.heartbeat.speeds.get(service));
+        known.for_each(|s| all.merge(s));
+        all
+    }
+
     /// Total load of all alive peers, by endpoint.
     pub fn loads(&self) -> &IndexMap<String, Load> {
         &self.sum
