Divide large fleets into groups that exchange digests

Cause: every instance told every other one. Weighed: the same mesh at longer intervals (cheaper, but staler); passing on all heartbeats through one member (as many bytes and as much decoding for the receivers); cells of instances with engines of their own (shared prompt segments would be read once for each cell). Change: fleets of over 32 instances form groups of about 20 by rendezvous hashing of names (relay/groups.rs). Heartbeats stay in the group, 30 ms apart. The member of the lowest rank that is alive sends a digest of the group to the other representatives, and one of the rest to its members, every 100 ms. A representative that was frozen isn't heeded before the one that replaced it is silent and it hears from all groups again. The store's readers are chosen in each group; budgets count all known instances. Small fleets behave as before. A digest with the load of more than some 2,000 endpoints would not fit a datagram; not built.

--- a/src/fleet/readers.rs
+++ b/src/fleet/readers.rs
@@ -3,16 +3,16 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Number of instances that read: single readers, or all in one failure domain, may fail or be
+/// Number of instances of the fleet that read: single readers, or all in one failure domain, may fail or be
 /// cut off at once.
 pub const READERS: usize = 9;
 
-/// True when fewer than [`READERS`] other instances rank below `name`. `connected` are the other
+/// True when fewer than `readers` other instances rank below `name`. `connected` are the other
 /// instances that are known to be alive and connected to the platform. Instances may see different
-/// sets: then a few more than [`READERS`] read, or the next in rank start a little later.
-pub fn is_reader<'a>(name: &str, connected: impl Iterator<Item = &'a str>) -> bool {
+/// sets: then a few more than `readers` read, or the next in rank start a little later.
+pub fn is_reader<'a>(name: &str, connected: impl Iterator<Item = &'a str>, readers: usize) -> bool {
     let own = rank(name);
-    connected.filter(|other| rank(other) < own).take(READERS).count() < READERS
+    connected.filter(|other| rank(other) < own).take(readers).count() < readers
 }
 
 /// Rank of an instance, the same on every instance.
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -312,7 +312,8 @@
         let needs: &Requirements = &exchange.requirements;
         let placement = self.pool(&exchange.service).balancer.start(now, endpoint, needs);
         let segments = exchange.requirements.shared().iter().map(|(id, _)| *id);
-        self.sent_segments.entry(endpoint.to_owned()).or_default().extend(segments);
+        self.heartbeats.add_segments(endpoint, segments.clone());
+        self.representative.add_segments(endpoint, segments);
         exchange.placement = Some(placement);
         exchange.sends += 1;
         exchange.link = Some(link);
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -19,6 +19,7 @@
 
 use super::caller::Caller;
 use super::gossip::{self, Peers};
+use super::groups::{Outbox, Representative};
 use super::link::Link;
 use super::names::HeaderNames;
 use super::queue::Queue;
@@ -27,7 +28,7 @@
 use super::table::RoutingTable;
 use super::timers::{Owner, Timers};
 use crate::adapter::clock::{Clock, Millis};
-use crate::policy::place::{Balancer, Load};
+use crate::policy::place::Balancer;
 use crate::policy::suspect::Suspects;
 use crate::policy::window::{RetryRule, RetryWindow};
 
@@ -118,8 +119,10 @@
     timers: Timers,
     peers: Peers,
     suspects: Suspects,
-    /// Shared prompt segments sent to endpoints since the last heartbeat, by endpoint.
-    sent_segments: IndexMap<String, Vec<u64>>,
+    /// Heartbeats to the instances of this one's group.
+    heartbeats: Outbox,
+    /// Digests for other groups, while this instance represents its own.
+    representative: Representative,
     /// Stale incarnations to report to peers, and when each was found.
     stale: Vec<(Millis, String)>,
     /// Attempts that broke recently, not attributed to a crash yet.
@@ -128,12 +131,6 @@
     serial: u64,
     /// Start time; tells the heartbeats of this process from those of an earlier one.
     started_at: u64,
-    /// Sequence number of the last heartbeat.
-    heartbeat_seq: u64,
-    /// Load by endpoint as last sent to peers.
-    sent_loads: IndexMap<String, Load>,
-    /// Time from which the next heartbeat carries the complete load.
-    next_full: Millis,
     next_heartbeat: Millis,
     last_heartbeat: Millis,
     /// Time of the stop request, once the process is stopping.
@@ -157,6 +154,7 @@
         let now = clock.now();
         let shared = Arc::new(Shared::new(clock.clone(), waker));
         shared.set_instances(vec![(setup.name.clone(), setup.peers)]);
+        let peers = Peers::new(&setup.name);
         let mut timers = Timers::default();
         timers.set(now + gossip::INTERVAL, Owner::Gossip);
         Ok(Self {
@@ -180,16 +178,14 @@
             applied_at: 0,
             apply_scheduled: false,
             timers,
-            peers: Peers::default(),
+            peers,
             suspects: Suspects::default(),
-            sent_segments: IndexMap::new(),
+            heartbeats: Outbox::heartbeats(),
+            representative: Representative::default(),
             stale: Vec::new(),
             broken: Vec::new(),
             serial: 0,
             started_at: now,
-            heartbeat_seq: 0,
-            sent_loads: IndexMap::new(),
-            next_full: now,
             next_heartbeat: now + gossip::INTERVAL,
             last_heartbeat: now,
             stopping_since: None,
@@ -257,6 +253,7 @@
                 Owner::Link(index, serial) => self.link_timer_fired(index, serial),
                 Owner::Gossip => self.send_heartbeats(now),
                 Owner::Peers => self.apply_peer_loads(now),
+                Owner::Digest => self.send_digests(now),
                 Owner::Queue => {}
             }
         }
--- a/src/relay/driver/outcome.rs
+++ b/src/relay/driver/outcome.rs
@@ -14,7 +14,7 @@
 /// address, shows that the endpoint has crashed.
 const CRASH_DETECT_MS: u64 = 6_000;
 /// Time for which a stale incarnation is reported to peers.
-const STALE_REPORT_MS: u64 = 5_000;
+pub(super) const STALE_REPORT_MS: u64 = 5_000;
 /// `Retry-After` of a refused request: random between these fractions of its route's target.
 const RETRY_AFTER_SPREAD: (f64, f64) = (0.25, 0.75);
 /// Minimum `Retry-After` of a refused request.
--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -7,13 +7,14 @@
 use indexmap::IndexMap;
 
 use super::Driver;
-use super::outcome::{CRASH_LIMIT, QUARANTINE_MS};
+use super::outcome::{CRASH_LIMIT, QUARANTINE_MS, STALE_REPORT_MS};
 use crate::adapter::clock::Millis;
 use crate::adapter::codec;
 use crate::fleet::readers;
 use crate::fleet::replica::Topic;
 use crate::policy::place::{Endpoint, Listing, Load, Profile, Samples};
 use crate::relay::gossip::{self, Heartbeat, Peer};
+use crate::relay::groups::{self, News};
 use crate::relay::state::PeerOffsets;
 use crate::relay::table::{RoutingTable, Service};
 use crate::relay::timers::Owner;
@@ -136,15 +137,11 @@
         self.next_heartbeat = now + gossip::INTERVAL;
         self.last_heartbeat = now;
         self.timers.set(self.next_heartbeat, Owner::Gossip);
-        self.heartbeat_seq += 1;
-        let bytes = codec::pack_positional(&self.heartbeat(now));
-        let addrs: Vec<_> = self.peers.addrs().collect();
-        for addr in addrs {
-            if let Err(e) = self.udp.send_to(&bytes, addr) {
-                tracing::debug!(%addr, "relay: datagram not sent: {e}");
-            }
-        }
+        let state = self.state(now);
+        let heartbeat = self.heartbeats.next(now, state);
+        self.send_datagrams(&heartbeat, &self.peers.addrs().collect::<Vec<_>>());
         self.apply_peer_loads(now);
+        self.update_role(now);
         for (name, pool) in &mut self.pools {
             pool.balancer.set_peer_samples(self.peers.samples(now, name));
         }
@@ -153,6 +150,41 @@
         self.shared.set_instances(self.peers.alive_addrs(now).chain([me]).collect());
     }
 
+    fn send_datagrams(&self, message: &Heartbeat, addrs: &[SocketAddr]) {
+        let bytes = codec::pack_positional(message);
+        for addr in addrs {
+            if let Err(e) = self.udp.send_to(&bytes, *addr) {
+                tracing::debug!(%addr, "relay: datagram not sent: {e}");
+            }
+        }
+    }
+
+    /// Decides whether this instance represents its group.
+    fn update_role(&mut self, now: Millis) {
+        if !self.representative.update(now, &self.peers) {
+            return;
+        }
+        let (group, groups) = (self.peers.own_group(), self.peers.group_count());
+        let represents = self.representative.is_active();
+        tracing::info!(group, groups, represents, "relay: role in its group changed");
+        if represents {
+            self.timers.set(now, Owner::Digest);
+        }
+    }
+
+    /// Sends the digests of a representative.
+    pub(super) fn send_digests(&mut self, now: Millis) {
+        self.update_role(now);
+        if !self.representative.is_active() {
+            return;
+        }
+        self.timers.set(now + groups::DIGEST_INTERVAL, Owner::Digest);
+        let (state, draw) = (self.state(now), rand::random());
+        for (digest, addrs) in self.representative.digests(now, &self.peers, state, draw) {
+            self.send_datagrams(&digest, &addrs);
+        }
+    }
+
     /// Publishes how far the peers' replicas of the topics reach, decides whether this instance
     /// reads the platform itself, and confirms the replica of the endpoints by those of the peers.
     fn update_replicas(&mut self, now: Millis) {
@@ -162,12 +194,14 @@
             ends: p.heartbeat.ends,
             same_domain: same_domain(p),
         };
-        let offsets: Vec<PeerOffsets> = self.peers.alive(now).map(offsets).collect();
+        let (members, remote) = (self.peers.members(now), self.peers.remote(now));
+        let offsets: Vec<PeerOffsets> = members.chain(remote).map(offsets).collect();
         self.metrics.peers.set(offsets.len() as i64);
         self.shared.set_peer_offsets(offsets);
-        let connected = self.peers.alive(now).filter(|p| !p.heartbeat.disconnected);
-        let reads =
-            readers::is_reader(&self.setup.name, connected.map(|p| p.heartbeat.name.as_str()));
+        let connected = self.peers.members(now).filter(|p| !p.heartbeat.disconnected);
+        let connected = connected.map(|p| p.heartbeat.name.as_str());
+        let share = readers::READERS.div_ceil(self.peers.group_count() as usize);
+        let reads = readers::is_reader(&self.setup.name, connected, share);
         if self.shared.set_reader(reads) {
             tracing::info!(reads, "relay: reader role changed");
         }
@@ -220,34 +254,25 @@
         tight
     }
 
-    /// Builds the next heartbeat. A full one, sent every [`gossip::FULL_INTERVAL`], also carries
-    /// the failure domain, crashes and all recent stale incarnations.
-    fn heartbeat(&mut self, now: Millis) -> Heartbeat {
-        let segments = std::mem::take(&mut self.sent_segments);
-        let full = now >= self.next_full;
-        if full {
-            self.next_full = now + gossip::FULL_INTERVAL;
-        }
-        let loads = self.loads_to_send(full);
-        let crashes = if full { self.suspects.export(now) } else { Vec::new() }.into_iter();
+    /// State of this instance with its complete load.
+    fn state(&self, now: Millis) -> Heartbeat {
+        let crashes = self.suspects.export(now).into_iter();
         let crashes = crashes.flat_map(|(c, ids)| ids.into_iter().map(move |id| (c, id)));
-        let stale = self.stale.iter().filter(|(at, _)| full || at + gossip::INTERVAL > now);
+        let recent = self.stale.iter().filter(|(at, _)| at + STALE_REPORT_MS > now);
         Heartbeat {
             name: self.setup.name.clone(),
             started: self.started_at,
-            seq: self.heartbeat_seq,
-            domain: if full { self.setup.domain.clone() } else { String::new() },
+            domain: self.setup.domain.clone(),
             disconnected: self.shared.is_disconnected(),
             age: self.list_age(),
             ends: self.shared.ends(),
-            full,
-            loads,
-            segments,
+            loads: self.own_loads(),
             tight: self.tight_waiting(),
             waiting: self.queue.len() as u32,
-            stale: stale.map(|(_, id)| id.clone()).collect(),
+            stale: recent.map(|(_, id)| id.clone()).collect(),
             crashes: crashes.take(MAX_SENT_CRASHES).collect(),
-            speeds: if full { self.speeds() } else { IndexMap::new() },
+            speeds: self.speeds(),
+            ..Heartbeat::default()
         }
     }
 
@@ -257,20 +282,11 @@
         engines.map(|(name, p)| (name.clone(), p.balancer.samples())).collect()
     }
 
-    /// Load of this instance by endpoint: all of it if `full`, otherwise what has changed since the
-    /// last heartbeat.
-    fn loads_to_send(&mut self, full: bool) -> IndexMap<String, Load> {
+    /// Load of this instance by endpoint.
+    fn own_loads(&self) -> IndexMap<String, Load> {
         let endpoints = self.pools.values().flat_map(|p| p.balancer.endpoints());
-        let sent = |e: &&Endpoint| self.sent_loads.get(&e.listing.id).copied().unwrap_or_default();
-        let changed: Vec<(String, Load)> = endpoints
-            .filter(|e| if full { e.own.running > 0 } else { e.own != sent(e) })
-            .map(|e| (e.listing.id.clone(), e.own))
-            .collect();
-        if full {
-            self.sent_loads.clear();
-        }
-        self.sent_loads.extend(changed.iter().cloned());
-        changed.into_iter().collect()
+        let loaded = endpoints.filter(|e| e.own != Load::default());
+        loaded.map(|e| (e.listing.id.clone(), e.own)).collect()
     }
 
     /// Receives all pending datagrams.
@@ -335,6 +351,9 @@
                 "relay: peer joined"
             );
         }
-        self.peers.receive(now, from, heartbeat);
+        let news = News::from(&heartbeat);
+        if self.peers.receive(now, from, heartbeat) {
+            self.representative.pass_on(news);
+        }
     }
 }
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::groups;
 use crate::adapter::clock::Millis;
 use crate::policy::place::{Load, Samples};
 
@@ -17,21 +18,35 @@
 /// Number of peers up to which [`MIN_INTERVAL`] applies; with more, the minimum grows in
 /// proportion.
 const MIN_INTERVAL_PEERS: u64 = 24;
-/// Interval between full heartbeats, in milliseconds. After a datagram is lost, a load may be wrong
-/// for this long.
-pub const FULL_INTERVAL: u64 = 800;
 /// Received heartbeats are collected before they take effect, for the minimum interval divided by
 /// this number.
 const MERGE_DIVISOR: u64 = 8;
 /// Time without a heartbeat after which a peer is no longer alive and its load is ignored, in
 /// milliseconds.
-const ALIVE_TIMEOUT: u64 = 1_200;
+pub const ALIVE_TIMEOUT: u64 = 1_200;
+/// Time without a digest after which that of another representative counts, in milliseconds.
+const TAKEOVER_TIMEOUT: u64 = 300;
 /// Time without a heartbeat after which a peer no longer shares budgets, in milliseconds.
 const SHARER_TIMEOUT: u64 = 10_000;
 /// Maximum size of a datagram, in bytes.
 pub const MAX_DATAGRAM: usize = 60_000;
 
-/// A heartbeat, sent as one datagram.
+/// Whose state a message has.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Scope {
+    /// That of the instance that sent it: a heartbeat.
+    #[default]
+    #[serde(rename = "i")]
+    Instance,
+    /// That of the sender's group, for representatives of other groups: a digest.
+    #[serde(rename = "g")]
+    Group,
+    /// That of all other groups, for the sender's own group: a digest.
+    #[serde(rename = "r")]
+    Rest,
+}
+
+/// A heartbeat or a digest, sent as one datagram.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Name of the sender.
@@ -80,170 +95,350 @@
     /// What the sender's requests have shown of the engines' speed, by service, if `full`.
     #[serde(rename = "v", default)]
     pub speeds: IndexMap<String, Samples>,
+    /// Whose state the message has.
+    #[serde(rename = "p", default)]
+    pub scope: Scope,
+    /// Hashes of the names of instances with queued requests, in a digest.
+    #[serde(rename = "b", default)]
+    pub contenders: Vec<u64>,
 }
 
-/// Another instance of the fleet.
+/// Another instance of the fleet, or a group of instances that a digest stands for.
 #[derive(Debug, Clone)]
 pub struct Peer {
-    /// Address on which it receives datagrams and calls.
+    /// Address on which it receives datagrams and calls; that of its representative for a group.
     pub addr: SocketAddr,
-    /// Its last heartbeat, with its complete load.
+    /// Its last message, with its complete load.
     pub heartbeat: Heartbeat,
-    /// Time at which that heartbeat was received; 0 if there was none yet.
+    /// Time at which that message was received; 0 if there was none yet.
     pub heard_at: Millis,
+    /// Group of the instance.
+    group: u32,
+}
+
+impl Peer {
+    fn new(addr: SocketAddr) -> Self {
+        Self { addr, heartbeat: Heartbeat::default(), heard_at: 0, group: 0 }
+    }
+
+    fn is_alive(&self, now: Millis) -> bool {
+        self.heard_at > 0 && self.heard_at + ALIVE_TIMEOUT > now
+    }
+
+    /// Applies a message, and adds the change of its load to `sum`. Loads that the message doesn't
+    /// list have not changed, unless it is complete or `restarted`.
+    fn apply(
+        &mut self,
+        now: Millis,
+        from: SocketAddr,
+        mut message: Heartbeat,
+        restarted: bool,
+        sum: &mut IndexMap<String, Load>,
+    ) {
+        let mut loads = std::mem::take(&mut self.heartbeat.loads);
+        if message.full || restarted {
+            for (id, load) in loads.drain(..) {
+                sum.entry(id).or_default().sub(load);
+            }
+        }
+        for (id, load) in std::mem::take(&mut message.loads) {
+            let total = sum.entry(id.clone()).or_default();
+            total.add(load);
+            if let Some(old) = loads.insert(id, load) {
+                total.sub(old);
+            }
+        }
+        loads.retain(|_, load| *load != Load::default());
+        message.loads = loads;
+        if !message.full {
+            message.domain = std::mem::take(&mut self.heartbeat.domain);
+            message.speeds = std::mem::take(&mut self.heartbeat.speeds);
+        }
+        self.addr = from;
+        self.heartbeat = message;
+        self.heard_at = now;
+    }
+
+    /// Subtracts its load from `sum`.
+    fn remove_loads(&mut self, sum: &mut IndexMap<String, Load>) {
+        for (id, load) in std::mem::take(&mut self.heartbeat.loads) {
+            sum.entry(id).or_default().sub(load);
+        }
+    }
 }
 
 /// All known peers by name, and the total load of those that are alive.
 #[derive(Debug, Default)]
 pub struct Peers {
+    /// Name of this instance.
+    me: String,
     all: IndexMap<String, Peer>,
+    /// Other groups, or all of them as one, by name of the digest.
+    digests: IndexMap<String, Peer>,
     sum: IndexMap<String, Load>,
+    /// Number of groups, and that of this instance.
+    groups: (u32, u32),
 }
 
 impl Peers {
+    /// Peers of the instance `me`; none is known yet.
+    pub fn new(me: &str) -> Self {
+        Self { me: me.to_owned(), groups: (1, 0), ..Self::default() }
+    }
+
     /// Makes the peers match the instance list: adds new ones, updates addresses, and removes
     /// those that are not listed.
     pub fn sync(&mut self, listed: &[(String, SocketAddr)]) {
         let unlisted = |name: &String| !listed.iter().any(|(n, _)| n == name);
         let gone: Vec<String> = self.all.keys().filter(|n| unlisted(n)).cloned().collect();
         for name in gone {
-            self.remove_loads(&name);
-            self.all.shift_remove(&name);
+            if let Some(mut peer) = self.all.shift_remove(&name) {
+                peer.remove_loads(&mut self.sum);
+            }
         }
         for (name, addr) in listed {
-            let new_peer = || Peer { addr: *addr, heartbeat: Heartbeat::default(), heard_at: 0 };
-            self.all.entry(name.clone()).or_insert_with(new_peer).addr = *addr;
+            self.all.entry(name.clone()).or_insert_with(|| Peer::new(*addr)).addr = *addr;
         }
+        self.regroup();
     }
 
     /// True for the first heartbeat since the peer started.
     pub fn is_new(&self, heartbeat: &Heartbeat) -> bool {
-        self.all
-            .get(&heartbeat.name)
-            .is_none_or(|p| p.heard_at == 0 || p.heartbeat.started < heartbeat.started)
+        heartbeat.scope == Scope::Instance
+            && self
+                .all
+                .get(&heartbeat.name)
+                .is_none_or(|p| p.heard_at == 0 || p.heartbeat.started < heartbeat.started)
     }
 
     /// Adds instances that another instance knows of.
     pub fn add(&mut self, known: &[(String, SocketAddr)]) {
         for (name, addr) in known {
-            let new_peer = || Peer { addr: *addr, heartbeat: Heartbeat::default(), heard_at: 0 };
-            self.all.entry(name.clone()).or_insert_with(new_peer);
+            self.all.entry(name.clone()).or_insert_with(|| Peer::new(*addr));
+        }
+        self.regroup();
+    }
+
+    /// Divides the known instances into groups.
+    fn regroup(&mut self) {
+        let groups = groups::group_count(self.all.len() + 1);
+        for (name, peer) in &mut self.all {
+            peer.group = groups::group_of(name, groups);
+        }
+        let own = groups::group_of(&self.me, groups);
+        if self.groups != (groups, own) {
+            self.groups = (groups, own);
+            self.digests.values_mut().for_each(|d| d.remove_loads(&mut self.sum));
+            self.digests.clear();
         }
     }
 
-    /// Applies a heartbeat. Returns false for one that is older than the last; it is dropped.
-    pub fn receive(&mut self, now: Millis, from: SocketAddr, mut heartbeat: Heartbeat) -> bool {
-        let new_peer = || Peer { addr: from, heartbeat: Heartbeat::default(), heard_at: 0 };
-        let peer = self.all.entry(heartbeat.name.clone()).or_insert_with(new_peer);
+    /// Number of groups; 1 if all instances send heartbeats to all.
+    pub fn group_count(&self) -> u32 {
+        self.groups.0
+    }
+
+    /// Group of this instance.
+    pub fn own_group(&self) -> u32 {
+        self.groups.1
+    }
+
+    /// True if this instance represents its group: of the members that are alive, it has the lowest
+    /// rank.
+    pub fn is_representative(&self, now: Millis) -> bool {
+        let own = groups::rank(&self.me);
+        self.groups.0 > 1 && self.members(now).all(|p| groups::rank(&p.heartbeat.name) > own)
+    }
+
+    /// Applies a message. Returns false for one that is older than the last, or that doesn't count
+    /// here; it is dropped.
+    pub fn receive(&mut self, now: Millis, from: SocketAddr, message: Heartbeat) -> bool {
+        match message.scope {
+            Scope::Instance => self.receive_heartbeat(now, from, message),
+            Scope::Group | Scope::Rest => self.receive_digest(now, from, message),
+        }
+    }
+
+    fn receive_heartbeat(
+        &mut self,
+        now: Millis,
+        from: SocketAddr,
+        mut heartbeat: Heartbeat,
+    ) -> bool {
+        if !self.all.contains_key(&heartbeat.name) {
+            self.add(&[(heartbeat.name.clone(), from)]);
+        }
+        let (groups, own) = self.groups;
+        let Some(peer) = self.all.get_mut(&heartbeat.name) else { return false };
         if (heartbeat.started, heartbeat.seq) <= (peer.heartbeat.started, peer.heartbeat.seq)
             && peer.heard_at > 0
         {
             return false;
         }
-        let mut loads = std::mem::take(&mut peer.heartbeat.loads);
-        if heartbeat.full || peer.heartbeat.started != heartbeat.started {
-            for (id, load) in loads.drain(..) {
-                self.sum.entry(id).or_default().sub(load);
-            }
+        if groups > 1 && peer.group != own {
+            // The digest of its group counts.
+            heartbeat = Heartbeat {
+                name: heartbeat.name,
+                started: heartbeat.started,
+                seq: heartbeat.seq,
+                ends: heartbeat.ends,
+                domain: heartbeat.domain,
+                full: true,
+                ..Heartbeat::default()
+            };
         }
-        for (id, load) in std::mem::take(&mut heartbeat.loads) {
-            let sum = self.sum.entry(id.clone()).or_default();
-            sum.add(load);
-            if let Some(old) = loads.insert(id, load) {
-                sum.sub(old);
-            }
+        let restarted = peer.heartbeat.started != heartbeat.started;
+        peer.apply(now, from, heartbeat, restarted, &mut self.sum);
+        true
+    }
+
+    /// Applies a digest. That of another representative counts once the one before is silent, from a
+    /// complete one on.
+    fn receive_digest(&mut self, now: Millis, from: SocketAddr, digest: Heartbeat) -> bool {
+        let own = digest.name == groups::digest_name(self.groups.1);
+        if digest.scope != self.wanted_scope(now) || own {
+            return false;
         }
-        loads.retain(|_, load| *load != Load::default());
-        heartbeat.loads = loads;
-        if !heartbeat.full {
-            heartbeat.domain = std::mem::take(&mut peer.heartbeat.domain);
-            heartbeat.speeds = std::mem::take(&mut peer.heartbeat.speeds);
+        let peer = self.digests.entry(digest.name.clone()).or_insert_with(|| Peer::new(from));
+        let same = peer.addr == from && peer.heartbeat.started == digest.started;
+        let known = peer.is_alive(now);
+        if peer.heard_at > 0 && same && digest.seq <= peer.heartbeat.seq {
+            return false;
+        }
+        let handed_over = known && peer.addr != from;
+        if (handed_over && now < peer.heard_at + TAKEOVER_TIMEOUT)
+            || (!(known && same) && !digest.full)
+        {
+            return false;
         }
-        peer.addr = from;
-        peer.heartbeat = heartbeat;
-        peer.heard_at = now;
+        peer.apply(now, from, digest, !same, &mut self.sum);
         true
     }
 
-    /// Subtracts a peer's load from the total.
-    fn remove_loads(&mut self, name: &str) {
-        let Some(peer) = self.all.get_mut(name) else { return };
-        for (id, load) in std::mem::take(&mut peer.heartbeat.loads) {
-            self.sum.entry(id).or_default().sub(load);
-        }
+    /// Scope of the digests that count: the representative receives those of other groups, the other
+    /// members that of the representative.
+    fn wanted_scope(&self, now: Millis) -> Scope {
+        if self.is_representative(now) { Scope::Group } else { Scope::Rest }
     }
 
-    /// Removes the loads of peers that are no longer alive.
+    /// Removes the loads of peers that are no longer alive, and digests that no longer count.
     pub fn expire(&mut self, now: Millis) {
-        let silent = |p: &Peer| p.heard_at + ALIVE_TIMEOUT <= now && !p.heartbeat.loads.is_empty();
-        let silent: Vec<String> =
-            self.all.iter().filter(|(_, p)| silent(p)).map(|(n, _)| n.clone()).collect();
-        for name in silent {
-            self.remove_loads(&name);
+        let wanted = self.wanted_scope(now);
+        if self.hears_fleet(now, wanted) {
+            for digest in self.digests.values_mut().filter(|d| d.heartbeat.scope != wanted) {
+                digest.remove_loads(&mut self.sum);
+            }
+            self.digests.retain(|_, d| d.heartbeat.scope == wanted);
+        }
+        for peer in self.all.values_mut().chain(self.digests.values_mut()) {
+            if !peer.is_alive(now) {
+                peer.remove_loads(&mut self.sum);
+            }
         }
         self.sum.retain(|_, load| *load != Load::default());
     }
 
+    /// True if digests of a scope cover all other groups. Until then, those of the role before stay.
+    pub fn hears_fleet(&self, now: Millis, scope: Scope) -> bool {
+        let heard = self.remote(now).filter(|d| d.heartbeat.scope == scope).count();
+        match scope {
+            Scope::Instance => false,
+            Scope::Group => heard + 1 >= self.groups.0 as usize,
+            Scope::Rest => heard > 0,
+        }
+    }
+
     /// Minimum interval between datagrams to a peer, in milliseconds.
     pub fn min_interval(&self) -> u64 {
-        let n = self.all.len() as u64;
+        let n = self.addrs().count() as u64;
         (MIN_INTERVAL * n.max(MIN_INTERVAL_PEERS) / MIN_INTERVAL_PEERS).min(INTERVAL)
     }
 
     /// Minimum interval between two updates of the placement from received heartbeats, in
     /// milliseconds. It is small compared to the age of what the heartbeats report.
     pub fn merge_interval(&self) -> u64 {
-        self.min_interval() / MERGE_DIVISOR
+        let age = if self.groups.0 > 1 { groups::DIGEST_INTERVAL } else { self.min_interval() };
+        age / MERGE_DIVISOR
     }
 
-    /// Addresses of all peers.
+    /// Addresses of the peers that receive this instance's heartbeats: those of its group.
     pub fn addrs(&self) -> impl Iterator<Item = SocketAddr> {
-        self.all.values().map(|p| p.addr)
+        self.all.values().filter(|p| p.group == self.groups.1).map(|p| p.addr)
     }
 
-    /// Names and addresses of the peers that are alive.
+    /// Addresses to which the digest of this group is sent: the representatives of the other groups,
+    /// or some members, in part random by `draw`, of a group whose representative is unknown.
+    pub fn digest_addrs(&self, now: Millis, draw: u64) -> Vec<SocketAddr> {
+        let (groups, own) = self.groups;
+        (0..groups).filter(|g| *g != own).flat_map(|g| self.group_addrs(now, g, draw)).collect()
+    }
+
+    fn group_addrs(&self, now: Millis, group: u32, draw: u64) -> Vec<SocketAddr> {
+        let digest = self.digests.get(&groups::digest_name(group));
+        if let Some(digest) = digest.filter(|d| d.is_alive(now)) {
+            return vec![digest.addr];
+        }
+        let mut members: Vec<(&String, &Peer)> =
+            self.all.iter().filter(|(_, p)| p.group == group).collect();
+        members.sort_by_key(|(name, _)| groups::rank(name));
+        let start = draw as usize % members.len().max(1);
+        let random = members.iter().cycle().skip(start).take(groups::CANDIDATES);
+        let first = members.iter().take(groups::CANDIDATES);
+        let mut addrs: Vec<SocketAddr> = first.chain(random).map(|(_, p)| p.addr).collect();
+        addrs.sort();
+        addrs.dedup();
+        addrs
+    }
+
+    /// Names and addresses of instances for a newcomer: those that are alive, or all if this
+    /// instance doesn't hear from all.
     pub fn alive_addrs(&self, now: Millis) -> impl Iterator<Item = (String, SocketAddr)> {
-        let alive = self.all.iter().filter(move |(_, p)| p.heard_at + ALIVE_TIMEOUT > now);
+        let grouped = self.groups.0 > 1;
+        let alive = self.all.iter().filter(move |(_, p)| grouped || p.is_alive(now));
         alive.map(|(name, p)| (name.clone(), p.addr))
     }
 
     /// Peers that are alive: a heartbeat was received recently.
     pub fn alive(&self, now: Millis) -> impl Iterator<Item = &Peer> {
-        self.all.values().filter(move |p| p.heard_at + ALIVE_TIMEOUT > now)
+        self.all.values().filter(move |p| p.is_alive(now))
+    }
+
+    /// Peers of this instance's group that are alive.
+    pub fn members(&self, now: Millis) -> impl Iterator<Item = &Peer> {
+        self.alive(now).filter(|p| p.group == self.groups.1)
     }
 
-    /// All known peers.
-    pub fn all(&self) -> impl Iterator<Item = &Peer> {
-        self.all.values()
+    /// Other groups whose digests count.
+    pub fn remote(&self, now: Millis) -> impl Iterator<Item = &Peer> {
+        self.digests.values().filter(move |p| p.is_alive(now))
     }
 
     /// Number of instances that share budgets: this one, peers with a recent heartbeat, and known
-    /// peers that have sent none yet.
+    /// peers that have sent none yet; all known ones if this instance doesn't hear from all.
     pub fn sharers(&self, now: Millis) -> usize {
-        1 + self
-            .all
-            .values()
-            .filter(|p| p.heard_at == 0 || p.heard_at + SHARER_TIMEOUT > now)
-            .count()
+        let shares =
+            |p: &&Peer| self.groups.0 > 1 || p.heard_at == 0 || p.heard_at + SHARER_TIMEOUT > now;
+        1 + self.all.values().filter(shares).count()
     }
 
     /// Hashes of the names of the alive peers that have requests in their queue.
     pub fn waiting(&self, now: Millis) -> Vec<u64> {
-        let busy = |p: &Peer| p.heard_at + ALIVE_TIMEOUT > now && p.heartbeat.waiting > 0;
-        self.all.iter().filter(|(_, p)| busy(p)).map(|(n, _)| instance_hash(n)).collect()
+        let busy = self.members(now).filter(|p| p.heartbeat.waiting > 0);
+        let own = busy.map(|p| instance_hash(&p.heartbeat.name));
+        own.chain(self.remote(now).flat_map(|d| d.heartbeat.contenders.iter().copied())).collect()
     }
 
     /// Number of requests of a service with a tight target gap in the queues of alive peers.
     pub fn tight(&self, now: Millis, service: &str) -> u32 {
-        let alive = self.all.values().filter(|p| p.heard_at + ALIVE_TIMEOUT > now);
-        alive.filter_map(|p| p.heartbeat.tight.get(service)).sum()
+        let all = self.members(now).chain(self.remote(now));
+        all.filter_map(|p| p.heartbeat.tight.get(service)).sum()
     }
 
     /// What the requests of alive peers have shown of the speed of a service's engines.
     pub fn samples(&self, now: Millis, service: &str) -> Samples {
         let mut all = Samples::default();
-        let known = self.alive(now).filter_map(|p| p.heartbeat.speeds.get(service));
-        known.for_each(|s| all.merge(s));
+        let known = self.members(now).chain(self.remote(now));
+        known.filter_map(|p| p.heartbeat.speeds.get(service)).for_each(|s| all.merge(s));
         all
     }
 
@@ -251,6 +446,45 @@
     pub fn loads(&self) -> &IndexMap<String, Load> {
         &self.sum
     }
+
+    /// Digest of this group, which adds its alive members to `own`, the heartbeat of this instance.
+    /// `own` has the complete load.
+    pub fn group_state(&self, now: Millis, own: Heartbeat) -> Heartbeat {
+        let mut state = own;
+        if state.waiting > 0 {
+            state.contenders.push(instance_hash(&self.me));
+        }
+        for peer in self.members(now) {
+            if peer.heartbeat.waiting > 0 {
+                state.contenders.push(instance_hash(&peer.heartbeat.name));
+            }
+            merge_state(&mut state, &peer.heartbeat);
+        }
+        state
+    }
+
+    /// Digest of all other groups that this representative hears from.
+    pub fn rest_state(&self, now: Millis) -> Heartbeat {
+        let mut state = Heartbeat::default();
+        for digest in self.remote(now).filter(|d| d.heartbeat.scope == Scope::Group) {
+            state.contenders.extend_from_slice(&digest.heartbeat.contenders);
+            merge_state(&mut state, &digest.heartbeat);
+        }
+        state
+    }
+}
+
+/// Adds loads, queues and samples of a message to a digest.
+fn merge_state(state: &mut Heartbeat, other: &Heartbeat) {
+    for (id, load) in &other.loads {
+        state.loads.entry(id.clone()).or_default().add(*load);
+    }
+    for (service, n) in &other.tight {
+        *state.tight.entry(service.clone()).or_default() += n;
+    }
+    for (service, samples) in &other.speeds {
+        state.speeds.entry(service.clone()).or_default().merge(samples);
+    }
 }
 
 /// Hash of an instance's name, by which instances take turns at an endpoint.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,6 +8,7 @@
 mod exchange;
 pub mod follow;
 pub mod gossip;
+pub mod groups;
 pub mod link;
 pub mod names;
 pub mod queue;
--- a/src/relay/timers.rs
+++ b/src/relay/timers.rs
@@ -13,6 +13,8 @@
     Link(usize, u64),
     /// Sending a heartbeat.
     Gossip,
+    /// Sending digests of groups.
+    Digest,
     /// Applying received heartbeats.
     Peers,
     /// Sending queued requests.
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -296,7 +296,7 @@
 fn reader_names(names: &[String], lost: &[String]) -> Vec<String> {
     let reads = |me: &&String| {
         let others = names.iter().filter(|o| o != me && !lost.contains(o));
-        readers::is_reader(me, others.map(String::as_str))
+        readers::is_reader(me, others.map(String::as_str), READERS)
     };
     names.iter().filter(reads).cloned().collect()
 }
@@ -307,7 +307,10 @@
     for n in [1, 9, 85, 750] {
         let names: Vec<String> = (0..n).map(|i| format!("edge-{i}")).collect();
         assert_eq!(reader_names(&names, &[]).len(), n.min(READERS));
-        assert_eq!(names.iter().filter(|n| readers::is_reader(n, [].into_iter())).count(), n);
+        assert_eq!(
+            names.iter().filter(|n| readers::is_reader(n, [].into_iter(), READERS)).count(),
+            n
+        );
     }
     assert!(follow::max_backoff(9) == 800 && follow::max_backoff(750) == 4_000);
 }
