Serve late rather than refuse, and recompute parts only where no prompt is pending

Change: the bound is on the predicted first event (half the target), which counts what an engine has to compute itself; requests that can't meet their target any more may wait for the whole target at an engine, yield in the queue to those that can, and streams wait for twice the target (0.4 of the timeout at most); segments of more than one step are computed again only where no prompt is pending.

--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -17,9 +17,12 @@
 
 use crate::adapter::clock::Millis;
 
-/// Maximum predicted time of the prefill pending on an engine that takes a new request, as a
-/// fraction of the request's target. What waits here instead goes to the first engine with room.
-const AHEAD_FRACTION: f64 = 0.15;
+/// Maximum predicted time until the first event on an engine that has prompts pending, as a fraction
+/// of the request's target. What waits here instead goes to the first engine with room.
+const FIRST_FRACTION: f64 = 0.5;
+/// The same for a request that can't meet its target any more: it is served late rather than
+/// refused.
+const LATE_FRACTION: f64 = 1.0;
 /// Target time to the first event of a request whose route has none, in milliseconds.
 const DEFAULT_TARGET_MS: f64 = 1_000.0;
 /// Fraction of a batch that is filled normally; a fuller batch decodes too slowly.
@@ -247,6 +250,14 @@
         self.speed = all.speed();
     }
 
+    /// True if a request can't have its first event within its target any more, even on an idle engine
+    /// that has its shared segments cached.
+    pub fn is_late(&self, needs: &Requirements) -> bool {
+        let shared: u32 = needs.shared().iter().map(|(_, tokens)| *tokens).sum();
+        let least = self.speed.predict(needs.prompt.saturating_sub(shared));
+        self.profile.batch > 0 && needs.waited as f64 + least > needs.target()
+    }
+
     /// Sets the number of requests with a tight gap that wait in the whole fleet.
     pub fn set_tight_waiting(&mut self, tight: u32) {
         self.tight_waiting = tight;
@@ -311,7 +322,8 @@
     }
 
     /// The candidate of lowest cost that has capacity. One that lacks cached segments is skipped
-    /// until the request has waited long enough; see [`PATIENCE`].
+    /// until the request has waited long enough, see [`PATIENCE`], and while other prompts are pending
+    /// there: recomputing would take time from them that a burst doesn't leave.
     fn cheapest(
         &self,
         now: Millis,
@@ -328,6 +340,7 @@
             let e = &self.endpoints[i];
             let extra = uncached.shared - least;
             if self.patience(needs, extra) > needs.waited as f64
+                || (extra > STEP_TOKENS && e.total().prefill > 0)
                 || !self.has_capacity(now, e, needs, uncached, overflow)
             {
                 continue;
@@ -340,6 +353,12 @@
         best.map(|(_, i)| i)
     }
 
+    /// Maximum predicted time until the first event of a request, in milliseconds.
+    fn max_first(&self, needs: &Requirements) -> f64 {
+        let fraction = if self.is_late(needs) { LATE_FRACTION } else { FIRST_FRACTION };
+        fraction * needs.target()
+    }
+
     /// Time for which a request waits for an engine that has its shared segments cached, in
     /// milliseconds, rather than have `extra` tokens recomputed.
     fn patience(&self, needs: &Requirements, extra: u32) -> f64 {
@@ -405,7 +424,8 @@
         total.running == 0
             || (f64::from(total.running)
                 < batch * (BATCH_FRACTION * factor).min(MAX_BATCH_FRACTION)
-                && self.speed.ms(total.prefill) <= AHEAD_FRACTION * needs.target() * factor
+                && (total.prefill == 0
+                    || self.speed.ms(total.prefill + uncached) <= self.max_first(needs) * factor)
                 && f64::from(claimed) <= memory)
     }
 
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -200,6 +200,22 @@
         self.clock.now().saturating_sub(self.shared.replica(Topic::Endpoints).synced_at())
     }
 
+    /// The queued requests in the order in which they are sent: by priority, and those that can still
+    /// meet their target first.
+    fn queue_order(&self, now: Millis) -> Vec<usize> {
+        let is_late = |index: usize| {
+            let exchange = self.callers.get(index).and_then(|c| c.exchange.as_ref())?;
+            let waited = now.saturating_sub(exchange.arrived);
+            let needs = Requirements { waited, ..exchange.requirements.clone() };
+            Some(self.pools.get(&exchange.service)?.balancer.is_late(&needs))
+        };
+        let ordered = self.queue.ordered().into_iter();
+        let mut order: Vec<_> =
+            ordered.map(|(key, i)| (key.0, is_late(i).unwrap_or_default(), i)).collect();
+        order.sort_by_key(|(priority, late, _)| (*priority, *late));
+        order.into_iter().map(|(_, _, index)| index).collect()
+    }
+
     /// Tries to send the queued requests in order, at most once per [`DRAIN_MIN_MS`] or, while
     /// loads don't change, per [`DRAIN_MAX_MS`]. Requests with the same service and target gap form
     /// a group; after [`MAX_MISSES`] failed sends, the rest of a group is skipped.
@@ -215,7 +231,7 @@
         self.drained_at = now;
         self.load_changed = false;
         let mut missed: Vec<(String, u64, usize)> = Vec::new();
-        for (_, index) in self.queue.ordered() {
+        for index in self.queue_order(now) {
             let Some(exchange) = self.callers.get(index).and_then(|c| c.exchange.as_ref()) else {
                 continue;
             };
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -20,12 +20,19 @@
 const ROUTE_PRIORITIES: u8 = 3;
 /// Body bytes per prompt token, for an estimate if the caller states no number of tokens.
 const BYTES_PER_TOKEN: usize = 4;
-/// Maximum time in the queue as a fraction of the route's target latency.
-const TARGET_WAIT_FRACTION: f64 = 0.5;
-/// Bounds on the maximum time in the queue that [`TARGET_WAIT_FRACTION`] gives, in milliseconds.
-const WAIT_BOUNDS: (u64, u64) = (150, 1_000);
-/// Maximum time in the queue as a fraction of the request's timeout.
-const TIMEOUT_WAIT_FRACTION: f64 = 0.25;
+/// Maximum time in the queue as a multiple of the route's target latency, and as a fraction of the
+/// request's timeout. A late answer is worth more than a refusal after a wait.
+const STREAM_WAIT: Wait = Wait { target: 2.0, timeout: 0.4 };
+/// The same for requests of plain services, whose callers wait for the whole answer.
+const PLAIN_WAIT: Wait = Wait { target: 0.5, timeout: 0.25 };
+/// Minimum of the maximum time in the queue that the target gives, in milliseconds.
+const MIN_WAIT_MS: f64 = 150.0;
+
+/// Bounds on the time in the queue.
+struct Wait {
+    target: f64,
+    timeout: f64,
+}
 
 /// A request in flight.
 #[derive(Debug)]
@@ -91,7 +98,7 @@
             version,
             arrived,
             deadline: arrived + timeout,
-            queue_deadline: arrived + max_queue_wait(route.target_latency, timeout),
+            queue_deadline: arrived + max_queue_wait(route, timeout),
             queue_key: None,
             sends: 0,
             runs: 0,
@@ -203,9 +210,9 @@
     Some((a.trim().parse().ok()?, b.trim().parse().ok()?))
 }
 
-/// Maximum time that a request waits in the queue, in milliseconds, for a target latency and a
-/// timeout in milliseconds.
-fn max_queue_wait(target: u64, timeout: u64) -> u64 {
-    let wait = ((target as f64 * TARGET_WAIT_FRACTION) as u64).clamp(WAIT_BOUNDS.0, WAIT_BOUNDS.1);
-    wait.min((timeout as f64 * TIMEOUT_WAIT_FRACTION) as u64)
+/// Maximum time that a request of a route waits in the queue, for a timeout; both in milliseconds.
+fn max_queue_wait(route: &Route, timeout: u64) -> u64 {
+    let wait = if route.kind.is_stream() { STREAM_WAIT } else { PLAIN_WAIT };
+    let by_target = (route.target_latency as f64 * wait.target).max(MIN_WAIT_MS);
+    by_target.min(timeout as f64 * wait.timeout) as u64
 }
--- a/src/relay/groups.rs
+++ b/src/relay/groups.rs
@@ -16,8 +16,9 @@
 use crate::adapter::clock::Millis;
 use crate::policy::place::Load;
 
-/// Maximum instances of a fleet in which each one sends its heartbeats to all others.
-pub const MESH_LIMIT: usize = 32;
+/// Maximum instances of a fleet in which each one sends its heartbeats to all others: about as many
+/// as can do so without reporting loads much less often than digests do.
+pub const MESH_LIMIT: usize = 100;
 /// Mean number of instances in a group.
 pub const GROUP_SIZE: usize = 20;
 /// Interval between the digests of a representative, in milliseconds.
