Log and measure how crashes are attributed to contents and told to peers

- crash recorded (endpoint, evidence, age of the oldest broken attempt, contents, new, most crashes of one content), crash reports received (peer, new, most), crash reports omitted, broken attempts without a crash; the content's hash stands in attempt failed.
Metrics relay_suspects and relay_crash_reports_omitted.
- Suspects::record_crash returns what changed, so that lines are written for what is new only.
Its two asserts in tests/policy.rs compare the result in place of a bool, as strictly.
- The code of crashes moved from outcome.rs and peers.rs to crashes.rs.
No decision changes.

--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -16,6 +16,7 @@
 use crate::mechanism::{self, Mechanism};
 use crate::policy::claim::Key;
 use crate::policy::pool::PEER_MAX_AGE;
+use crate::policy::suspect::Counted;
 
 /// Timeout of a call to a peer, in milliseconds.
 const CALL_TIMEOUT: u64 = 1_500;
@@ -155,14 +156,14 @@
 pub fn record_crash(entry: &Entry, content: u64, crash: &str) {
     let Some(fleet) = entry.fleet() else { return };
     let now = entry.now();
-    let quarantined = lock(&entry.suspects).record_crash(
+    let counted = lock(&entry.suspects).record_crash(
         now,
         content,
         crash,
         fleet.crash_limit,
         fleet.quarantine,
     );
-    if !quarantined {
+    if counted != Counted::Quarantined {
         return;
     }
     let until = now + fleet.quarantine;
--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -29,6 +29,17 @@
     Quarantined { until: Millis },
 }
 
+/// What recording a crash against a content has changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Counted {
+    /// Nothing: the crash was known already, or never counts.
+    Known,
+    /// The crash counts from now on.
+    New,
+    /// The crash counts, and the content is quarantined because of it.
+    Quarantined,
+}
+
 #[derive(Debug, Clone, Default)]
 struct Record {
     /// Crashes that count.
@@ -47,8 +58,7 @@
 
 impl Suspects {
     /// Counts the crash `crash` (endpoint and incarnation) against a content. With `limit` crashes,
-    /// the content is quarantined for `duration` milliseconds; returns true if this crash caused
-    /// that.
+    /// the content is quarantined for `duration` milliseconds.
     pub fn record_crash(
         &mut self,
         now: Millis,
@@ -56,7 +66,7 @@
         crash: &str,
         limit: u32,
         duration: u64,
-    ) -> bool {
+    ) -> Counted {
         if self.map.len() >= MAX_SUSPECTS && !self.map.contains_key(&content) {
             self.map.swap_remove_index(0);
         }
@@ -65,15 +75,31 @@
             record.crashes.clear();
         }
         if record.ignored.contains(crash) || record.crashes.contains(crash) {
-            return false;
+            return Counted::Known;
         }
         record.last_crash = now;
         record.crashes.insert(crash.to_owned());
         let exceeded = record.crashes.len() >= limit as usize && record.quarantined_until <= now;
-        if exceeded {
-            record.quarantined_until = now + duration;
+        if !exceeded {
+            return Counted::New;
         }
-        exceeded
+        record.quarantined_until = now + duration;
+        Counted::Quarantined
+    }
+
+    /// Number of crashes that count against a content.
+    pub fn crash_count(&self, content: Content) -> usize {
+        self.map.get(&content).map_or(0, |r| r.crashes.len())
+    }
+
+    /// Number of contents tracked.
+    pub fn len(&self) -> usize {
+        self.map.len()
+    }
+
+    /// True if no content is tracked.
+    pub fn is_empty(&self) -> bool {
+        self.map.is_empty()
     }
 
     /// Current state of a content; always clear if quarantine is switched off.
--- /dev/null
+++ b/src/relay/driver/crashes.rs
@@ -0,0 +1,150 @@
+//! Attribution of broken attempts to crashes of endpoints, and the exchange of crashes with peers.
+
+use super::Driver;
+use crate::adapter::clock::Millis;
+use crate::policy::place::Listing;
+use crate::policy::suspect::{Content, Counted};
+use crate::relay::gossip::Heartbeat;
+
+/// Number of crashes with which a content is quarantined.
+const CRASH_LIMIT: u32 = 3;
+/// Duration of a quarantine.
+const QUARANTINE_MS: u64 = 600_000;
+/// Maximum time from a broken connection until the endpoint list, or another incarnation at the
+/// address, shows that the endpoint has crashed.
+const CRASH_DETECT_MS: u64 = 6_000;
+/// Maximum crashes in one heartbeat.
+const MAX_SENT_CRASHES: usize = 40;
+
+/// An attempt whose connection broke, possibly because the endpoint crashed.
+#[derive(Debug)]
+pub(super) struct BrokenAttempt {
+    at: Millis,
+    endpoint: String,
+    /// Hash of the content of the request.
+    content: Content,
+}
+
+impl Driver {
+    /// Keeps an attempt whose connection broke as a possible crash.
+    pub(super) fn record_broken(&mut self, endpoint: &str, content: Content) {
+        let at = self.clock.now();
+        self.broken.push(BrokenAttempt { at, endpoint: endpoint.to_owned(), content });
+    }
+
+    /// Records a crash of every incarnation that has disappeared from the endpoint list without
+    /// having been marked as leaving.
+    pub(super) fn detect_crashes(&mut self, service: &str, listings: &[Listing]) {
+        let same = |l: &Listing, old: &Listing| l.id == old.id && l.started_at == old.started_at;
+        let balancer = &self.pool(service).balancer;
+        let gone = balancer.endpoints().filter(|e| !e.listing.leaving);
+        let gone = gone.filter(|e| !listings.iter().any(|l| same(l, &e.listing)));
+        let gone: Vec<String> = gone.map(|e| e.listing.id.clone()).collect();
+        for id in gone {
+            self.record_crash(&id, "unlisted");
+        }
+    }
+
+    /// Records the crash of an incarnation against the contents of all attempts that broke there in
+    /// the last [`CRASH_DETECT_MS`]: one of them is the cause, or a request that ran beside them.
+    /// `evidence` tells the log how the crash was detected.
+    pub(super) fn record_crash(&mut self, endpoint: &str, evidence: &'static str) {
+        let now = self.clock.now();
+        self.drop_old_broken(now);
+        let (matching, rest) = std::mem::take(&mut self.broken)
+            .into_iter()
+            .partition::<Vec<_>, _>(|b| b.endpoint == endpoint);
+        self.broken = rest;
+        if matching.is_empty() {
+            return;
+        }
+        let age = matching.iter().map(|b| now.saturating_sub(b.at)).max();
+        let contents: Vec<Content> = matching.iter().map(|b| b.content).collect();
+        let crashes = contents.iter().map(|content| (*content, endpoint));
+        let new = self.count_crashes(now, crashes, evidence);
+        tracing::info!(
+            endpoint,
+            evidence,
+            age,
+            contents = contents.len(),
+            new,
+            most = self.most_crashes(&contents),
+            "relay: crash recorded"
+        );
+    }
+
+    /// Forgets broken attempts that no crash was found for.
+    fn drop_old_broken(&mut self, now: Millis) {
+        let before = self.broken.len();
+        self.broken.retain(|b| b.at + CRASH_DETECT_MS > now);
+        let dropped = before - self.broken.len();
+        if dropped > 0 {
+            tracing::info!(dropped, "relay: broken attempts without a crash");
+        }
+    }
+
+    /// Counts crashes against contents, and returns how many were not known before.
+    fn count_crashes<'a>(
+        &mut self,
+        now: Millis,
+        crashes: impl Iterator<Item = (Content, &'a str)>,
+        source: &str,
+    ) -> usize {
+        let mut new = 0;
+        for (content, endpoint) in crashes {
+            let counted =
+                self.suspects.record_crash(now, content, endpoint, CRASH_LIMIT, QUARANTINE_MS);
+            new += usize::from(counted != Counted::Known);
+            if counted == Counted::Quarantined {
+                tracing::warn!(content, endpoint, source, "relay: content quarantined");
+            }
+        }
+        self.metrics.suspects.set(self.suspects.len() as i64);
+        new
+    }
+
+    /// Largest number of crashes that count against one of the contents.
+    fn most_crashes(&self, contents: &[Content]) -> usize {
+        contents.iter().map(|c| self.suspects.crash_count(*c)).max().unwrap_or_default()
+    }
+
+    /// Counts the crashes that a peer reports.
+    pub(super) fn apply_crash_reports(&mut self, heartbeat: &Heartbeat) {
+        let now = self.clock.now();
+        let crashes = heartbeat.crashes.iter().map(|(content, id)| (*content, id.as_str()));
+        let new = self.count_crashes(now, crashes, &heartbeat.name);
+        if new == 0 {
+            return;
+        }
+        let contents: Vec<Content> = heartbeat.crashes.iter().map(|(c, _)| *c).collect();
+        tracing::info!(
+            peer = heartbeat.name,
+            reports = contents.len(),
+            new,
+            most = self.most_crashes(&contents),
+            "relay: crash reports received"
+        );
+    }
+
+    /// Crashes by content for peers.
+    pub(super) fn crash_reports(&self, now: Millis) -> Vec<(Content, String)> {
+        let all = self.suspects.export(now).into_iter();
+        let mut all: Vec<_> =
+            all.flat_map(|(c, ids)| ids.into_iter().map(move |id| (c, id))).collect();
+        let omitted = all.len().saturating_sub(MAX_SENT_CRASHES) as i64;
+        if self.metrics.reports_omitted.set(omitted) != omitted {
+            tracing::warn!(known = all.len(), omitted, "relay: crash reports omitted");
+        }
+        all.truncate(MAX_SENT_CRASHES);
+        all
+    }
+
+    /// Revokes a crash: the incarnation has completed a request since.
+    pub(super) fn revoke_crash(&mut self, endpoint: &str) {
+        let now = self.clock.now();
+        let released = self.suspects.revoke_crash(now, endpoint, CRASH_LIMIT);
+        if !released.is_empty() {
+            tracing::info!(endpoint, contents = released.len(), "relay: quarantine ended");
+        }
+    }
+}
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod crashes;
 mod dispatch;
 mod links;
 mod outcome;
@@ -17,6 +18,8 @@
 use mio::{Events, Interest, Poll, Token, Waker};
 use slab::Slab;
 
+use crashes::BrokenAttempt;
+
 use super::caller::Caller;
 use super::gossip::{self, Peers};
 use super::groups::{Outbox, Representative};
@@ -79,15 +82,6 @@
     window: RetryWindow,
 }
 
-/// An attempt whose connection broke, possibly because the endpoint crashed.
-#[derive(Debug)]
-struct BrokenAttempt {
-    at: Millis,
-    endpoint: String,
-    /// Hash of the content of the request.
-    content: u64,
-}
-
 /// State of the event loop.
 pub struct Driver {
     setup: Setup,
--- a/src/relay/driver/outcome.rs
+++ b/src/relay/driver/outcome.rs
@@ -1,18 +1,11 @@
 //! Ends of attempts and requests: retries, refusals, failures, timeouts and cancellation.
 
+use super::Driver;
 use super::dispatch::RefuseReason;
-use super::{BrokenAttempt, Driver};
 use crate::policy::attempt::{Action, FailureKind, RetryState};
 use crate::policy::place::Endpoint;
 use crate::relay::stats::{FailureLabels, RequestLabels, RouteLabels};
 
-/// Number of crashes with which a content is quarantined.
-pub(super) const CRASH_LIMIT: u32 = 3;
-/// Duration of a quarantine.
-pub(super) const QUARANTINE_MS: u64 = 600_000;
-/// Maximum time from a broken connection until the endpoint list, or another incarnation at the
-/// address, shows that the endpoint has crashed.
-const CRASH_DETECT_MS: u64 = 6_000;
 /// Time for which a stale incarnation is reported to peers.
 pub(super) const STALE_REPORT_MS: u64 = 5_000;
 /// `Retry-After` of a refused request: random between these fractions of its route's target.
@@ -87,6 +80,7 @@
             id,
             route,
             endpoint,
+            content,
             cause = cause.name(),
             fact = ?failure,
             ?next,
@@ -146,11 +140,10 @@
     fn record_failure(&mut self, service: &str, endpoint: &str, cause: Cause, content: u64) {
         let now = self.clock.now();
         if cause == Cause::ConnectionLost {
-            let endpoint = endpoint.to_owned();
-            self.broken.push(BrokenAttempt { at: now, endpoint, content });
+            self.record_broken(endpoint, content);
         }
         if cause == Cause::Stale {
-            self.record_crash(endpoint);
+            self.record_crash(endpoint, "stale");
             self.stale.retain(|(at, _)| at + STALE_REPORT_MS > now);
             self.stale.push((now, endpoint.to_owned()));
         }
@@ -171,30 +164,9 @@
         }
     }
 
-    /// Records the crash of an incarnation against the contents of all attempts that broke there in
-    /// the last [`CRASH_DETECT_MS`]: one of them is the cause, or a request that ran beside them.
-    pub(super) fn record_crash(&mut self, endpoint: &str) {
-        let now = self.clock.now();
-        self.broken.retain(|b| b.at + CRASH_DETECT_MS > now);
-        let (matching, rest) = std::mem::take(&mut self.broken)
-            .into_iter()
-            .partition::<Vec<_>, _>(|b| b.endpoint == endpoint);
-        self.broken = rest;
-        for BrokenAttempt { content, .. } in matching {
-            if self.suspects.record_crash(now, content, endpoint, CRASH_LIMIT, QUARANTINE_MS) {
-                tracing::warn!(
-                    content,
-                    endpoint,
-                    "relay: content quarantined, it crashes endpoints"
-                );
-            }
-        }
-    }
-
     /// Removes the load of a request that has ended at its endpoint. A `success` ends an ejection
     /// of the endpoint and revokes crashes recorded for its incarnation.
     pub(super) fn finish_placement(&mut self, caller: usize, success: bool) {
-        let now = self.clock.now();
         let Some(exchange) = self.callers.get_mut(caller).and_then(|c| c.exchange.as_mut()) else {
             return;
         };
@@ -211,7 +183,7 @@
             self.schedule_heartbeat();
         }
         if success {
-            self.suspects.revoke_crash(now, &placement.endpoint, CRASH_LIMIT);
+            self.revoke_crash(&placement.endpoint);
         }
     }
 
--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 
 use super::Driver;
-use super::outcome::{CRASH_LIMIT, QUARANTINE_MS, STALE_REPORT_MS};
+use super::outcome::STALE_REPORT_MS;
 use crate::adapter::clock::Millis;
 use crate::adapter::codec;
 use crate::fleet::readers;
@@ -19,9 +19,6 @@
 use crate::relay::table::{RoutingTable, Service};
 use crate::relay::timers::Owner;
 
-/// Maximum crashes in one heartbeat.
-const MAX_SENT_CRASHES: usize = 40;
-
 impl Driver {
     /// Applies updates from other threads: a new table, lists of endpoints and instances, or a stop
     /// request.
@@ -115,19 +112,6 @@
         }
     }
 
-    /// Records a crash of every incarnation that has disappeared from the endpoint list without
-    /// having been marked as leaving.
-    fn detect_crashes(&mut self, service: &str, listings: &[Listing]) {
-        let same = |l: &Listing, old: &Listing| l.id == old.id && l.started_at == old.started_at;
-        let balancer = &self.pool(service).balancer;
-        let gone = balancer.endpoints().filter(|e| !e.listing.leaving);
-        let gone = gone.filter(|e| !listings.iter().any(|l| same(l, &e.listing)));
-        let gone: Vec<String> = gone.map(|e| e.listing.id.clone()).collect();
-        for id in gone {
-            self.record_crash(&id);
-        }
-    }
-
     /// Sends a heartbeat to all peers if one is due, and updates what is derived from their
     /// heartbeats.
     pub(super) fn send_heartbeats(&mut self, now: Millis) {
@@ -256,8 +240,6 @@
 
     /// State of this instance with its complete load.
     fn state(&self, now: Millis) -> Heartbeat {
-        let crashes = self.suspects.export(now).into_iter();
-        let crashes = crashes.flat_map(|(c, ids)| ids.into_iter().map(move |id| (c, id)));
         let recent = self.stale.iter().filter(|(at, _)| at + STALE_REPORT_MS > now);
         Heartbeat {
             name: self.setup.name.clone(),
@@ -270,7 +252,7 @@
             tight: self.tight_waiting(),
             waiting: self.queue.len() as u32,
             stale: recent.map(|(_, id)| id.clone()).collect(),
-            crashes: crashes.take(MAX_SENT_CRASHES).collect(),
+            crashes: self.crash_reports(now),
             speeds: self.speeds(),
             ..Heartbeat::default()
         }
@@ -333,16 +315,7 @@
             let entries = self.pools.values_mut().filter_map(|p| p.balancer.get_mut(id));
             entries.for_each(Endpoint::mark_stale);
         }
-        for (content, endpoint) in &heartbeat.crashes {
-            if self.suspects.record_crash(now, *content, endpoint, CRASH_LIMIT, QUARANTINE_MS) {
-                tracing::warn!(
-                    content,
-                    endpoint,
-                    peer = heartbeat.name,
-                    "relay: content quarantined on reports of peers"
-                );
-            }
-        }
+        self.apply_crash_reports(&heartbeat);
         if self.peers.is_new(&heartbeat) {
             tracing::info!(
                 peer = heartbeat.name,
--- a/src/relay/stats.rs
+++ b/src/relay/stats.rs
@@ -65,6 +65,10 @@
     pub waiting: Gauge,
     /// Number of peers that are alive.
     pub peers: Gauge,
+    /// Number of contents that crashes count against.
+    pub suspects: Gauge,
+    /// Number of crash reports that the last complete heartbeat had no room for.
+    pub reports_omitted: Gauge,
 }
 
 fn latency() -> Histogram {
@@ -85,6 +89,8 @@
             config_version: Gauge::default(),
             waiting: Gauge::default(),
             peers: Gauge::default(),
+            suspects: Gauge::default(),
+            reports_omitted: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -112,6 +118,12 @@
         );
         r.register("waiting", "requests that wait for room", self.waiting.clone());
         r.register("peers", "peers heard of late", self.peers.clone());
+        r.register("suspects", "contents that crashes count against", self.suspects.clone());
+        r.register(
+            "crash_reports_omitted",
+            "crash reports that the last complete heartbeat had no room for",
+            self.reports_omitted.clone(),
+        );
     }
 
     /// Renders the metrics in the Prometheus text format.
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -16,7 +16,7 @@
 use sassafrasworks::policy::endpoint::{Health, Report};
 use sassafrasworks::policy::pool::{Arrival, Grant, Load, Outcome, Pool, Step};
 use sassafrasworks::policy::share::{Demand, Rule, divide};
-use sassafrasworks::policy::suspect::{ContentState, Suspects};
+use sassafrasworks::policy::suspect::{ContentState, Counted, Suspects};
 use sassafrasworks::policy::{Job, Refusal};
 use uuid::Uuid;
 
@@ -337,13 +337,15 @@
     // Suspects don't share an endpoint from then on, so only the cause is on the next two that
     // crash.
     suspects.record_crash(10, cause, "engine-2/a", 3, 600_000);
-    assert!(suspects.record_crash(20, cause, "engine-3/a", 3, 600_000));
+    let counted = suspects.record_crash(20, cause, "engine-3/a", 3, 600_000);
+    assert_eq!(counted, Counted::Quarantined);
     assert_eq!(suspects.state(30, cause), ContentState::Quarantined { until: 600_020 });
     assert_eq!(suspects.state(30, harmless), ContentState::Suspect);
     assert!(suspects.release(cause));
     assert_eq!(suspects.state(40, cause), ContentState::Clear);
     // Peers may report the old crashes again; these no longer count.
-    assert!(!suspects.record_crash(50, cause, "engine-2/a", 3, 600_000));
+    let counted = suspects.record_crash(50, cause, "engine-2/a", 3, 600_000);
+    assert_eq!(counted, Counted::Known);
     assert_eq!(suspects.state(60, cause), ContentState::Clear);
 }
 
