Report every crash to the peers, each in its turn

Cause: a heartbeat told the first 40 pairs of content and crash that the instance knew, oldest first, for ten minutes. A crash breaks all requests of an endpoint, so one wave on engines left some 90 pairs; from then on nothing new was told, each instance counted only its own crashes, and none saw three. Class: a bounded message that drops what is new, silently.

Ruled out: the crash not attributed (the red test logs crash recorded at each instance), another hash (the content's hash is the same in the log).

Change: policy/report.rs decides what to report: a crash that an instance has observed itself, at once and then five times at growing intervals; the newest three crashes of each quarantined content every 2 s while the quarantine lasts. At most 250 in a message, those due longest first, so the rest has its turn in the next one. Representatives pass reports on as they pass on stale incarnations. relay_crash_reports_due takes the place of the metric of omitted reports.

New: every_crash_is_reported_however_many_there_are, quarantine_is_reported_for_as_long_as_it_lasts (policy), crashes_seen_by_one_member_reach_all_groups (195 instances).

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,6 +9,7 @@
 pub mod place;
 pub mod pool;
 pub mod queue;
+pub mod report;
 pub mod share;
 pub mod suspect;
 pub mod window;
--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -161,6 +161,14 @@
         recent.map(|(c, r)| (*c, r.crashes.iter().cloned().collect())).collect()
     }
 
+    /// The newest `limit` crashes of each quarantined content, for the peers.
+    pub fn evidence(&self, now: Millis, limit: u32) -> Vec<(Content, String)> {
+        let quarantined = self.map.iter().filter(|(_, r)| r.quarantined_until > now);
+        let newest = quarantined
+            .flat_map(|(c, r)| r.crashes.iter().rev().take(limit as usize).map(move |id| (c, id)));
+        newest.map(|(content, id)| (*content, id.clone())).collect()
+    }
+
     /// Quarantined contents and the time at which each quarantine ends.
     pub fn quarantined(&self, now: Millis) -> Vec<(Content, Millis)> {
         self.map
--- a/src/relay/driver/crashes.rs
+++ b/src/relay/driver/crashes.rs
@@ -13,8 +13,6 @@
 /// Maximum time from a broken connection until the endpoint list, or another incarnation at the
 /// address, shows that the endpoint has crashed.
 const CRASH_DETECT_MS: u64 = 6_000;
-/// Maximum crashes in one heartbeat.
-const MAX_SENT_CRASHES: usize = 40;
 
 /// An attempt whose connection broke, possibly because the endpoint crashed.
 #[derive(Debug)]
@@ -62,6 +60,8 @@
         let contents: Vec<Content> = matching.iter().map(|b| b.content).collect();
         let crashes = contents.iter().map(|content| (*content, endpoint));
         let new = self.count_crashes(now, crashes, evidence);
+        contents.iter().for_each(|content| self.reports.add(now, *content, endpoint));
+        self.schedule_heartbeat();
         tracing::info!(
             endpoint,
             evidence,
@@ -126,17 +126,13 @@
         );
     }
 
-    /// Crashes by content for peers.
-    pub(super) fn crash_reports(&self, now: Millis) -> Vec<(Content, String)> {
-        let all = self.suspects.export(now).into_iter();
-        let mut all: Vec<_> =
-            all.flat_map(|(c, ids)| ids.into_iter().map(move |id| (c, id))).collect();
-        let omitted = all.len().saturating_sub(MAX_SENT_CRASHES) as i64;
-        if self.metrics.reports_omitted.set(omitted) != omitted {
-            tracing::warn!(known = all.len(), omitted, "relay: crash reports omitted");
-        }
-        all.truncate(MAX_SENT_CRASHES);
-        all
+    /// Crashes by content for the next heartbeat.
+    pub(super) fn take_crash_reports(&mut self, now: Millis) -> Vec<(Content, String)> {
+        let suspects = &self.suspects;
+        self.reports.refresh(now, || suspects.evidence(now, CRASH_LIMIT));
+        let taken = self.reports.take(now);
+        self.metrics.reports_due.set(self.reports.due(now) as i64);
+        taken
     }
 
     /// Revokes a crash: the incarnation has completed a request since.
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -32,6 +32,7 @@
 use super::timers::{Owner, Timers};
 use crate::adapter::clock::{Clock, Millis};
 use crate::policy::place::Balancer;
+use crate::policy::report::Reports;
 use crate::policy::suspect::Suspects;
 use crate::policy::window::{RetryRule, RetryWindow};
 
@@ -113,6 +114,8 @@
     timers: Timers,
     peers: Peers,
     suspects: Suspects,
+    /// Crashes to report to peers.
+    reports: Reports,
     /// Heartbeats to the instances of this one's group.
     heartbeats: Outbox,
     /// Digests for other groups, while this instance represents its own.
@@ -174,6 +177,7 @@
             timers,
             peers,
             suspects: Suspects::default(),
+            reports: Reports::default(),
             heartbeats: Outbox::heartbeats(),
             representative: Representative::default(),
             stale: Vec::new(),
--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -121,7 +121,8 @@
         self.next_heartbeat = now + gossip::INTERVAL;
         self.last_heartbeat = now;
         self.timers.set(self.next_heartbeat, Owner::Gossip);
-        let state = self.state(now);
+        let state = Heartbeat { crashes: self.take_crash_reports(now), ..self.state(now) };
+        self.representative.add_crashes(&state.crashes);
         let heartbeat = self.heartbeats.next(now, state);
         self.send_datagrams(&heartbeat, &self.peers.addrs().collect::<Vec<_>>());
         self.apply_peer_loads(now);
@@ -238,7 +239,7 @@
         tight
     }
 
-    /// State of this instance with its complete load.
+    /// State of this instance with its complete load, without crashes.
     fn state(&self, now: Millis) -> Heartbeat {
         let recent = self.stale.iter().filter(|(at, _)| at + STALE_REPORT_MS > now);
         Heartbeat {
@@ -252,7 +253,6 @@
             tight: self.tight_waiting(),
             waiting: self.queue.len() as u32,
             stale: recent.map(|(_, id)| id.clone()).collect(),
-            crashes: self.crash_reports(now),
             speeds: self.speeds(),
             ..Heartbeat::default()
         }
--- a/src/relay/groups.rs
+++ b/src/relay/groups.rs
@@ -9,12 +9,14 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::gossip::{self, Heartbeat, Peers, Scope};
 use crate::adapter::clock::Millis;
 use crate::policy::place::Load;
+use crate::policy::report::MAX_REPORTS;
+use crate::policy::suspect::Content;
 
 /// Maximum instances of a fleet in which each one sends its heartbeats to all others: about as many
 /// as can do so without reporting loads much less often than digests do.
@@ -69,6 +71,8 @@
     segments: IndexMap<String, Vec<u64>>,
     /// Stale incarnations reported since the last message.
     stale: Vec<String>,
+    /// Crashes by content reported since the last message.
+    crashes: IndexSet<(Content, String)>,
 }
 
 impl Outbox {
@@ -80,6 +84,7 @@
             sent: IndexMap::new(),
             segments: IndexMap::new(),
             stale: Vec::new(),
+            crashes: IndexSet::new(),
         }
     }
 
@@ -93,16 +98,18 @@
         self.segments.entry(endpoint.to_owned()).or_default().extend(segments);
     }
 
-    /// Adds segments and stale incarnations that another instance has found to the next message.
+    /// Adds segments, stale incarnations and crashes that another instance has found to the next
+    /// message.
     fn add_news(&mut self, news: News) {
         for (endpoint, segments) in news.segments {
             self.add_segments(&endpoint, segments.into_iter());
         }
         self.stale.extend(news.stale);
+        self.crashes.extend(news.crashes);
     }
 
     /// Makes the next message from the complete state. All of it is sent at intervals, and else the
-    /// loads that have changed, without the failure domain, crashes and samples.
+    /// loads that have changed, without the failure domain and samples.
     pub fn next(&mut self, now: Millis, mut state: Heartbeat) -> Heartbeat {
         self.seq += 1;
         state.seq = self.seq;
@@ -115,9 +122,9 @@
         self.sent.extend(state.loads.iter().map(|(id, load)| (id.clone(), *load)));
         state.segments = std::mem::take(&mut self.segments);
         state.stale.append(&mut self.stale);
+        state.crashes.extend(self.crashes.drain(..self.crashes.len().min(MAX_REPORTS)));
         if !state.full {
             state.domain.clear();
-            state.crashes.clear();
             state.speeds.clear();
         }
         state
@@ -138,6 +145,7 @@
         self.next_full = 0;
         self.segments.clear();
         self.stale.clear();
+        self.crashes.clear();
     }
 }
 
@@ -147,6 +155,7 @@
     scope: Scope,
     segments: IndexMap<String, Vec<u64>>,
     stale: Vec<String>,
+    crashes: Vec<(Content, String)>,
 }
 
 impl From<&Heartbeat> for News {
@@ -155,6 +164,7 @@
             scope: message.scope,
             segments: message.segments.clone(),
             stale: message.stale.clone(),
+            crashes: message.crashes.clone(),
         }
     }
 }
@@ -206,6 +216,13 @@
         }
     }
 
+    /// Adds crashes that this instance reports.
+    pub fn add_crashes(&mut self, crashes: &[(Content, String)]) {
+        if self.active {
+            self.group.crashes.extend(crashes.iter().cloned());
+        }
+    }
+
     /// Passes on what a message that counts has reported.
     pub fn pass_on(&mut self, news: News) {
         match news.scope {
@@ -231,7 +248,6 @@
             ends: state.ends,
             age: state.age,
             scope: Scope::Rest,
-            crashes: state.crashes.clone(),
             ..peers.rest_state(now)
         };
         let name = digest_name(peers.own_group());
--- a/src/relay/stats.rs
+++ b/src/relay/stats.rs
@@ -67,8 +67,8 @@
     pub peers: Gauge,
     /// Number of contents that crashes count against.
     pub suspects: Gauge,
-    /// Number of crash reports that the last complete heartbeat had no room for.
-    pub reports_omitted: Gauge,
+    /// Number of crash reports that the last heartbeat had no room for.
+    pub reports_due: Gauge,
 }
 
 fn latency() -> Histogram {
@@ -90,7 +90,7 @@
             waiting: Gauge::default(),
             peers: Gauge::default(),
             suspects: Gauge::default(),
-            reports_omitted: Gauge::default(),
+            reports_due: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -120,9 +120,9 @@
         r.register("peers", "peers heard of late", self.peers.clone());
         r.register("suspects", "contents that crashes count against", self.suspects.clone());
         r.register(
-            "crash_reports_omitted",
-            "crash reports that the last complete heartbeat had no room for",
-            self.reports_omitted.clone(),
+            "crash_reports_due",
+            "crash reports that the last heartbeat had no room for",
+            self.reports_due.clone(),
         );
     }
 
--- a/tests/groups.rs
+++ b/tests/groups.rs
@@ -6,9 +6,10 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use sassafrasworks::adapter::clock::Millis;
 use sassafrasworks::policy::place::Load;
+use sassafrasworks::policy::report::MAX_REPORTS;
 use sassafrasworks::relay::gossip::{Heartbeat, Peers};
 use sassafrasworks::relay::groups::{
     DIGEST_INTERVAL, GROUP_SIZE, MESH_LIMIT, News, Outbox, Representative, group_count, group_of,
@@ -35,6 +36,8 @@
     received: usize,
     /// Shared segments heard of in messages.
     segments: Vec<u64>,
+    /// Contents of the crashes heard of in messages.
+    crashes: IndexSet<u64>,
 }
 
 struct Fleet {
@@ -62,6 +65,7 @@
                 sent: 0,
                 received: 0,
                 segments: Vec::new(),
+                crashes: IndexSet::new(),
             }
         });
         Self { now: 10_000, nodes: nodes.collect() }
@@ -106,6 +110,7 @@
         for node in self.nodes.iter_mut().filter(|n| n.reachable && addrs.contains(&n.addr)) {
             node.received += 1;
             node.segments.extend(message.segments.values().flatten());
+            node.crashes.extend(message.crashes.iter().map(|(content, _)| content));
             if node.peers.receive(now, from, message.clone()) {
                 node.representative.pass_on(News::from(message));
             }
@@ -242,6 +247,24 @@
     assert_eq!(informed, 194, "all others know of the cached segment");
 }
 
+#[test]
+fn crashes_seen_by_one_member_reach_all_groups() {
+    let mut fleet = Fleet::start(195);
+    fleet.rounds(SETTLED);
+    let seen: Vec<(u64, String)> = (0..400).map(|c| (c, "e/a".to_owned())).collect();
+    for part in seen.chunks(MAX_REPORTS) {
+        let node = &mut fleet.nodes[5];
+        let heartbeat = Heartbeat { crashes: part.to_vec(), ..state(node) };
+        node.representative.add_crashes(&heartbeat.crashes);
+        let message = node.heartbeats.next(fleet.now + 1, heartbeat);
+        let (from, addrs) = (node.addr, node.peers.addrs().collect::<Vec<_>>());
+        fleet.deliver(from, &message, &addrs);
+    }
+    fleet.rounds(6);
+    let complete = fleet.nodes.iter().filter(|n| n.crashes.len() == seen.len()).count();
+    assert_eq!(complete, 194, "all others know of all crashes");
+}
+
 #[test]
 fn gone_loads_are_told_as_changes() {
     let mut outbox = Outbox::heartbeats();
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -15,6 +15,7 @@
 use sassafrasworks::policy::claim::{Claim, ClaimTable, Op, Position};
 use sassafrasworks::policy::endpoint::{Health, Report};
 use sassafrasworks::policy::pool::{Arrival, Grant, Load, Outcome, Pool, Step};
+use sassafrasworks::policy::report::{MAX_REPORTS, Reports};
 use sassafrasworks::policy::share::{Demand, Rule, divide};
 use sassafrasworks::policy::suspect::{ContentState, Counted, Suspects};
 use sassafrasworks::policy::{Job, Refusal};
@@ -494,3 +495,40 @@
     assert_eq!(crash_id("engine-1", ""), None);
     assert_ne!(crash_id("engine-1", "a"), crash_id("engine-1", "b"));
 }
+
+#[test]
+fn every_crash_is_reported_however_many_there_are() {
+    let all = 3 * MAX_REPORTS as u64;
+    let mut reports = Reports::default();
+    (0..all).for_each(|content| reports.add(0, content, "engine-1/a"));
+    let mut told: IndexMap<u64, u32> = IndexMap::new();
+    for now in (0..60_000).step_by(100) {
+        let taken = reports.take(now);
+        assert!(taken.len() <= MAX_REPORTS);
+        taken.iter().for_each(|(content, _)| *told.entry(*content).or_default() += 1);
+        if now == 300 {
+            assert_eq!(told.len() as u64, all, "each is reported at once");
+        }
+    }
+    // Repeated for peers that were cut off, but not for ever.
+    assert!(told.values().all(|n| (4..10).contains(n)), "{told:?}");
+    assert_eq!(reports.due(u64::MAX), 0);
+}
+
+#[test]
+fn quarantine_is_reported_for_as_long_as_it_lasts() {
+    let mut suspects = Suspects::default();
+    let crashes = ["engine-1/a", "engine-2/a", "engine-3/a", "engine-4/a"];
+    crashes.iter().for_each(|c| _ = suspects.record_crash(0, 7, c, 3, 600_000));
+    let mut reports = Reports::default();
+    for now in (0..600_000).step_by(5_000) {
+        reports.refresh(now, || suspects.evidence(now, 3));
+        let mut peer = Suspects::default();
+        let taken = reports.take(now);
+        taken.iter().for_each(|(content, c)| _ = peer.record_crash(now, *content, c, 3, 600_000));
+        assert_eq!(taken.len(), 3, "as many as make a peer quarantine it");
+        assert!(matches!(peer.state(now, 7), ContentState::Quarantined { .. }));
+    }
+    reports.refresh(600_000, || suspects.evidence(600_000, 3));
+    assert_eq!(reports.take(600_000), []);
+}
