--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -68,7 +68,7 @@
         duration: u64,
     ) -> Counted {
         if self.map.len() >= MAX_SUSPECTS && !self.map.contains_key(&content) {
-            self.map.swap_remove_index(0);
+            self.evict(now);
         }
         let record = self.map.entry(content).or_default();
         if now.saturating_sub(record.last_crash) > RETENTION_MS {
@@ -87,6 +87,15 @@
         Counted::Quarantined
     }
 
+    /// Removes the content whose last crash is the oldest; quarantined ones only if all are.
+    fn evict(&mut self, now: Millis) {
+        let rank = |r: &Record| (r.quarantined_until > now, r.last_crash);
+        let oldest = self.map.iter().min_by_key(|(_, r)| rank(r)).map(|(content, _)| *content);
+        if let Some(content) = oldest {
+            self.map.swap_remove(&content);
+        }
+    }
+
     /// Number of crashes that count against a content.
     pub fn crash_count(&self, content: Content) -> usize {
         self.map.get(&content).map_or(0, |r| r.crashes.len())
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -532,3 +532,20 @@
     reports.refresh(600_000, || suspects.evidence(600_000, 3));
     assert_eq!(reports.take(600_000), []);
 }
+
+#[test]
+fn full_table_of_suspects_drops_the_oldest() {
+    let (cause, limit, all) = (u64::MAX, 3, 10_000);
+    let mut suspects = Suspects::default();
+    for crash in ["engine-1/a", "engine-2/a", "engine-3/a"] {
+        suspects.record_crash(1, cause, crash, limit, 600_000);
+    }
+    (0..all).for_each(|c| _ = suspects.record_crash(2 + c, c, "engine-4/a", limit, 600_000));
+    let now = 2 + all;
+    assert_eq!(suspects.record_crash(now, all + 1, "engine-5/a", limit, 600_000), Counted::New);
+    assert_eq!(suspects.record_crash(now, all + 2, "engine-5/a", limit, 600_000), Counted::New);
+    assert_eq!(suspects.len() as u64, all);
+    assert!(matches!(suspects.state(now, cause), ContentState::Quarantined { .. }));
+    assert_eq!(suspects.state(now, all + 1), ContentState::Suspect, "the newest stays");
+    assert_eq!(suspects.state(now, 0), ContentState::Clear, "the oldest goes");
+}
