Suspects: crashes behind a quarantine that has ended don't count again

A peer that had heard of the crashes a little later still reported them when the quarantine ended here, and they were counted as new: the quarantine renewed itself in turn on all instances, for ever. Found by reading, not seen in a run. crashes_behind_a_quarantine_that_has_ended_do_not_renew_it failed before.

--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -72,7 +72,7 @@
         }
         let record = self.map.entry(content).or_default();
         if now.saturating_sub(record.last_crash) > RETENTION_MS {
-            record.crashes.clear();
+            record.ignored.extend(record.crashes.drain(..));
         }
         if record.ignored.contains(crash) || record.crashes.contains(crash) {
             return Counted::Known;
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -549,3 +549,16 @@
     assert_eq!(suspects.state(now, all + 1), ContentState::Suspect, "the newest stays");
     assert_eq!(suspects.state(now, 0), ContentState::Clear, "the oldest goes");
 }
+
+#[test]
+fn crashes_behind_a_quarantine_that_has_ended_do_not_renew_it() {
+    let crashes = ["engine-1/a", "engine-2/a", "engine-3/a"];
+    let mut suspects = Suspects::default();
+    crashes.iter().for_each(|c| _ = suspects.record_crash(0, 7, c, 3, 600_000));
+    assert_eq!(suspects.state(600_001, 7), ContentState::Clear);
+    // A peer that has heard of them later still reports them.
+    for crash in crashes {
+        assert_eq!(suspects.record_crash(600_001, 7, crash, 3, 600_000), Counted::Known);
+    }
+    assert_eq!(suspects.state(600_002, 7), ContentState::Clear);
+}
