--- a/src/policy/length.rs
+++ b/src/policy/length.rs
@@ -21,7 +21,7 @@
         update_average(self.by_class.entry(class.to_owned()).or_insert(ms), ms);
         let key = (class.to_owned(), workspace.to_owned());
         if self.by_workspace.len() >= MAX_KEYS && !self.by_workspace.contains_key(&key) {
-            self.by_workspace.swap_remove_index(0);
+            self.by_workspace.shift_remove_index(0);
         }
         update_average(self.by_workspace.entry(key).or_insert(ms), ms);
     }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -15,6 +15,7 @@
 use sassafrasworks::policy::claim::{Claim, ClaimTable, Op, Position};
 use sassafrasworks::policy::endpoint::{Health, Report};
 use sassafrasworks::policy::pool::{Arrival, Grant, Load, Outcome, Pool, Step};
+use sassafrasworks::policy::length::RunTimes;
 use sassafrasworks::policy::report::{MAX_REPORTS, Reports};
 use sassafrasworks::policy::share::{Demand, Rule, divide};
 use sassafrasworks::policy::suspect::{ContentState, Counted, Suspects};
@@ -562,3 +563,15 @@
     }
     assert_eq!(suspects.state(600_002, 7), ContentState::Clear);
 }
+
+#[test]
+fn full_table_of_run_times_drops_the_oldest() {
+    let mut times = RunTimes::default();
+    let name = |i: u32| format!("workspace-{i}");
+    (0..4_100).for_each(|i| times.record("chat", &name(i), f64::from(i)));
+    for i in 4_090..4_100 {
+        assert_eq!(times.estimate("chat", &name(i)), f64::from(i), "the newest stay");
+    }
+    assert_ne!(times.estimate("chat", &name(0)), 0.0, "the class stands in for the oldest");
+    assert_eq!(times.estimate("chat", &name(0)), times.class_estimate("chat"));
+}
