Count a crash as soon as the endpoint refuses connections

Cause: a broken attempt was attributed to a crash only when the entry was removed or another incarnation answered. Ruled out as a source: reports of peers (they arrive within 30 ms now).

Change: a broken attempt opens a connection to the endpoint; if it is refused, no other connection to it is open and the entry isn't leaving, the endpoint has crashed. A connection that opens is kept for reuse. The endpoint is also excluded at once.

crashes_count_before_the_entries_expire failed before (no crash recorded in 20 s), passes now. reset_of_one_connection_is_no_crash guards the other side.

--- a/src/relay/driver/crashes.rs
+++ b/src/relay/driver/crashes.rs
@@ -5,6 +5,7 @@
 use crate::policy::place::Listing;
 use crate::policy::suspect::{Content, Counted};
 use crate::relay::gossip::Heartbeat;
+use crate::relay::link::Link;
 
 /// Number of crashes with which a content is quarantined.
 const CRASH_LIMIT: u32 = 3;
@@ -24,10 +25,43 @@
 }
 
 impl Driver {
-    /// Keeps an attempt whose connection broke as a possible crash.
-    pub(super) fn record_broken(&mut self, endpoint: &str, content: Content) {
+    /// Keeps an attempt whose connection broke as a possible crash, and checks whether the endpoint
+    /// still accepts connections: its entry may stay listed for seconds after a crash.
+    pub(super) fn record_broken(&mut self, service: &str, endpoint: &str, content: Content) {
         let at = self.clock.now();
         self.broken.push(BrokenAttempt { at, endpoint: endpoint.to_owned(), content });
+        self.probe(service, endpoint);
+    }
+
+    /// Opens a connection to a listed endpoint, unless one is being opened already. It is kept for
+    /// reuse.
+    fn probe(&mut self, service: &str, endpoint: &str) {
+        let opening = |l: &Link| l.endpoint == endpoint && !l.connected;
+        if self.links.iter().any(|(_, l)| opening(l)) || !self.can_connect(endpoint, service) {
+            return;
+        }
+        let Some(e) = self.pool(service).balancer.get(endpoint) else { return };
+        let Ok(addr) = e.listing.addr.parse() else { return };
+        if let Err(e) = self.connect(endpoint, service, addr) {
+            tracing::warn!(endpoint, "relay: connection not opened: {e}");
+        }
+    }
+
+    /// Handles a refused connection. If requests broke at the endpoint and no connection to it is
+    /// open, it has crashed.
+    pub(super) fn connection_refused(&mut self, service: &str, endpoint: &str) {
+        let now = self.clock.now();
+        let is_open = self.links.iter().any(|(_, l)| l.endpoint == endpoint && l.connected);
+        let is_broken = self.broken.iter().any(|b| b.endpoint == endpoint);
+        if is_open || !is_broken {
+            return;
+        }
+        let Some(e) = self.pool(service).balancer.get_mut(endpoint) else { return };
+        if e.listing.leaving {
+            return;
+        }
+        e.record_failure(now, true);
+        self.record_crash(endpoint, "refused");
     }
 
     /// Records a crash of every incarnation that has disappeared from the endpoint list without
--- a/src/relay/driver/links.rs
+++ b/src/relay/driver/links.rs
@@ -98,19 +98,26 @@
     /// Completes a non-blocking connect. Returns false if it failed.
     fn finish_connect(&mut self, index: usize) -> bool {
         let link = &mut self.links[index];
-        let failed = match link.sock.take_error() {
-            Ok(None) => link.sock.peer_addr().is_err(),
-            Ok(Some(_)) | Err(_) => true,
+        let error = match link.sock.take_error() {
+            Ok(error) => error.or_else(|| link.sock.peer_addr().err()),
+            Err(e) => Some(e),
         };
-        if failed {
-            let refused = link.sock.peer_addr().is_err();
-            self.link_ended(index, Disconnect::Reset, refused);
+        if let Some(error) = error {
+            let unsent = link.sock.peer_addr().is_err();
+            let (service, endpoint) = (link.service.clone(), link.endpoint.clone());
+            self.link_ended(index, Disconnect::Reset, unsent);
+            if error.kind() == io::ErrorKind::ConnectionRefused {
+                self.connection_refused(&service, &endpoint);
+            }
             return false;
         }
         link.connected = true;
         if let Err(e) = link.sock.set_nodelay(true) {
             tracing::debug!("relay: TCP_NODELAY not set: {e}");
         }
+        if link.caller.is_none() {
+            self.keep_idle(index);
+        }
         true
     }
 
@@ -166,7 +173,6 @@
 
     /// Keeps a connection for reuse after a complete response, or closes it if it isn't reusable.
     pub(super) fn release_link(&mut self, index: usize) {
-        let now = self.clock.now();
         let Some(link) = self.links.get_mut(index) else { return };
         if !link.reusable() {
             self.drop_link(index);
@@ -175,8 +181,15 @@
         link.update_idle_timeout();
         link.caller = None;
         link.served += 1;
-        link.idle_since = now;
         link.clear();
+        self.keep_idle(index);
+    }
+
+    /// Keeps a connection without a request for reuse.
+    fn keep_idle(&mut self, index: usize) {
+        let now = self.clock.now();
+        let link = &mut self.links[index];
+        link.idle_since = now;
         let (endpoint, serial, timeout) = (link.endpoint.clone(), link.serial, link.idle_timeout);
         self.idle_links.entry(endpoint).or_default().push(index);
         self.timers.set(now + timeout, Owner::Link(index, serial));
--- a/src/relay/driver/outcome.rs
+++ b/src/relay/driver/outcome.rs
@@ -140,7 +140,7 @@
     fn record_failure(&mut self, service: &str, endpoint: &str, cause: Cause, content: u64) {
         let now = self.clock.now();
         if cause == Cause::ConnectionLost {
-            self.record_broken(endpoint, content);
+            self.record_broken(service, endpoint, content);
         }
         if cause == Cause::Stale {
             self.record_crash(endpoint, "stale");
