Tell crashes of incarnations with the same id apart

An endpoint may start again under the id that it had. Crashes were named by the id alone, so all crashes of one endpoint counted as one and a request that crashes it again and again was never quarantined.

A crash is named by id and start time now; the log tells endpoint restarted. crashes_of_an_endpoint_that_restarts_under_its_id_add_up failed before (crash recorded new=0, then served).

--- a/src/policy/place/endpoint.rs
+++ b/src/policy/place/endpoint.rs
@@ -90,6 +90,13 @@
     pub started_at: u64,
 }
 
+impl Listing {
+    /// Name of the incarnation: id and start time.
+    pub fn incarnation(&self) -> String {
+        format!("{}/{}", self.id, self.started_at)
+    }
+}
+
 /// An endpoint as one instance sees it.
 #[derive(Debug, Default)]
 pub struct Endpoint {
--- a/src/relay/driver/crashes.rs
+++ b/src/relay/driver/crashes.rs
@@ -20,6 +20,8 @@
 pub(super) struct BrokenAttempt {
     at: Millis,
     endpoint: String,
+    /// The incarnation of the endpoint, which names the crash.
+    incarnation: String,
     /// Hash of the content of the request.
     content: Content,
 }
@@ -29,10 +31,17 @@
     /// still accepts connections: its entry may stay listed for seconds after a crash.
     pub(super) fn record_broken(&mut self, service: &str, endpoint: &str, content: Content) {
         let at = self.clock.now();
-        self.broken.push(BrokenAttempt { at, endpoint: endpoint.to_owned(), content });
+        let incarnation = self.incarnation(service, endpoint);
+        self.broken.push(BrokenAttempt { at, endpoint: endpoint.to_owned(), incarnation, content });
         self.probe(service, endpoint);
     }
 
+    /// The current incarnation of an endpoint; its id if it is not listed.
+    fn incarnation(&mut self, service: &str, endpoint: &str) -> String {
+        let listed = self.pool(service).balancer.get(endpoint);
+        listed.map_or_else(|| endpoint.to_owned(), |e| e.listing.incarnation())
+    }
+
     /// Opens a connection to a listed endpoint, unless one is being opened already. It is kept for
     /// reuse.
     fn probe(&mut self, service: &str, endpoint: &str) {
@@ -92,9 +101,9 @@
         }
         let age = matching.iter().map(|b| now.saturating_sub(b.at)).max();
         let contents: Vec<Content> = matching.iter().map(|b| b.content).collect();
-        let crashes = contents.iter().map(|content| (*content, endpoint));
+        let crashes = matching.iter().map(|b| (b.content, b.incarnation.as_str()));
         let new = self.count_crashes(now, crashes, evidence);
-        contents.iter().for_each(|content| self.reports.add(now, *content, endpoint));
+        matching.iter().for_each(|b| self.reports.add(now, b.content, &b.incarnation));
         self.schedule_heartbeat();
         tracing::info!(
             endpoint,
@@ -117,7 +126,7 @@
         }
     }
 
-    /// Counts crashes against contents, and returns how many were not known before.
+    /// Counts crashes (content and incarnation) against contents, and returns how many were not known before.
     fn count_crashes<'a>(
         &mut self,
         now: Millis,
@@ -125,12 +134,12 @@
         source: &str,
     ) -> usize {
         let mut new = 0;
-        for (content, endpoint) in crashes {
+        for (content, crash) in crashes {
             let counted =
-                self.suspects.record_crash(now, content, endpoint, CRASH_LIMIT, QUARANTINE_MS);
+                self.suspects.record_crash(now, content, crash, CRASH_LIMIT, QUARANTINE_MS);
             new += usize::from(counted != Counted::Known);
             if counted == Counted::Quarantined {
-                tracing::warn!(content, endpoint, source, "relay: content quarantined");
+                tracing::warn!(content, crash, source, "relay: content quarantined");
             }
         }
         self.metrics.suspects.set(self.suspects.len() as i64);
@@ -170,9 +179,10 @@
     }
 
     /// Revokes a crash: the incarnation has completed a request since.
-    pub(super) fn revoke_crash(&mut self, endpoint: &str) {
+    pub(super) fn revoke_crash(&mut self, service: &str, endpoint: &str) {
         let now = self.clock.now();
-        let released = self.suspects.revoke_crash(now, endpoint, CRASH_LIMIT);
+        let incarnation = self.incarnation(service, endpoint);
+        let released = self.suspects.revoke_crash(now, &incarnation, CRASH_LIMIT);
         if !released.is_empty() {
             tracing::info!(endpoint, contents = released.len(), "relay: quarantine ended");
         }
--- a/src/relay/driver/outcome.rs
+++ b/src/relay/driver/outcome.rs
@@ -183,7 +183,7 @@
             self.schedule_heartbeat();
         }
         if success {
-            self.revoke_crash(&placement.endpoint);
+            self.revoke_crash(&service, &placement.endpoint);
         }
     }
 
--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -96,6 +96,14 @@
                 None => {
                     tracing::info!(service, endpoint = l.id, addr = l.addr, "relay: endpoint added")
                 }
+                Some(e) if e.listing.started_at != l.started_at => {
+                    tracing::info!(
+                        service,
+                        endpoint = l.id,
+                        started_at = l.started_at,
+                        "relay: endpoint restarted"
+                    );
+                }
                 Some(e) if e.listing.leaving != l.leaving => {
                     tracing::info!(
                         service,
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -89,7 +89,7 @@
     /// Endpoint incarnations that the sender found gone from their address.
     #[serde(rename = "g")]
     pub stale: Vec<String>,
-    /// Crashes by content: hash of the content and endpoint incarnation.
+    /// Crashes by content: hash of the content and incarnation of the endpoint.
     #[serde(rename = "c")]
     pub crashes: Vec<(u64, String)>,
     /// What the sender's requests have shown of the engines' speed, by service, if `full`.
