Quarantine prompt segments that crash endpoints

Cause: crashes counted against whole requests only.

Change: a crash counts against each shared segment of the requests that broke, by the segment's id. The other segments are there at each crash too, but they are answered on elsewhere: a segment that an endpoint has answered on in the last one to two minutes isn't blamed, and a later answer clears it (policy/sound.rs). Requests with a quarantined segment are refused as not run.

--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -4,7 +4,9 @@
 //! endpoint afterwards, so that a harmless content doesn't run next to the cause a second time.
 
 use indexmap::{IndexMap, IndexSet};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::sound::SoundSegments;
 use crate::adapter::clock::Millis;
 use crate::mechanism::{self, Mechanism};
 
@@ -12,12 +14,19 @@
 pub const RETENTION_MS: u64 = 600_000;
 /// Time after a crash from which a report of the same incarnation proves that there was no crash.
 pub const REVOKE_DELAY_MS: u64 = 1_000;
+/// Seed that tells the hashes of prompt segments from those of whole requests.
+const SEGMENT_SEED: u64 = 1;
 /// Maximum contents tracked.
 const MAX_SUSPECTS: usize = 10_000;
 
-/// Hash of the content of a request.
+/// Hash of the content of a request, or of a prompt segment.
 pub type Content = u64;
 
+/// The content that stands for a prompt segment.
+pub fn segment_content(id: u64) -> Content {
+    xxh3_64_with_seed(&id.to_le_bytes(), SEGMENT_SEED)
+}
+
 /// State of a content.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ContentState {
@@ -32,7 +41,7 @@
 /// What recording a crash against a content has changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Counted {
-    /// Nothing: the crash was known already, or never counts.
+    /// Nothing: the crash was known already, or never counts, or the content is a sound segment.
     Known,
     /// The crash counts from now on.
     New,
@@ -54,6 +63,7 @@
 #[derive(Debug, Default)]
 pub struct Suspects {
     map: IndexMap<Content, Record>,
+    sound: SoundSegments,
 }
 
 impl Suspects {
@@ -67,6 +77,9 @@
         limit: u32,
         duration: u64,
     ) -> Counted {
+        if self.sound.contains(content) {
+            return Counted::Known;
+        }
         if self.map.len() >= MAX_SUSPECTS && !self.map.contains_key(&content) {
             self.evict(now);
         }
@@ -87,6 +100,20 @@
         Counted::Quarantined
     }
 
+    /// Records that an endpoint has answered on a prompt segment: crashes don't count against it.
+    /// Returns true if that ends its quarantine.
+    pub fn record_sound(&mut self, now: Millis, segment: Content) -> bool {
+        self.sound.insert(now, segment);
+        let quarantined = matches!(self.state(now, segment), ContentState::Quarantined { .. });
+        self.release(segment);
+        quarantined
+    }
+
+    /// True if an endpoint has answered on the prompt segment recently.
+    pub fn is_sound(&self, segment: Content) -> bool {
+        self.sound.contains(segment)
+    }
+
     /// Removes the content whose last crash is the oldest; quarantined ones only if all are.
     fn evict(&mut self, now: Millis) {
         let rank = |r: &Record| (r.quarantined_until > now, r.last_crash);
--- a/src/relay/driver/crashes.rs
+++ b/src/relay/driver/crashes.rs
@@ -1,9 +1,11 @@
 //! Attribution of broken attempts to crashes of endpoints, and the exchange of crashes with peers.
 
+use indexmap::IndexSet;
+
 use super::Driver;
 use crate::adapter::clock::Millis;
 use crate::policy::place::Listing;
-use crate::policy::suspect::{Content, Counted};
+use crate::policy::suspect::{Content, ContentState, Counted};
 use crate::relay::gossip::Heartbeat;
 use crate::relay::link::Link;
 
@@ -22,17 +24,22 @@
     endpoint: String,
     /// The incarnation of the endpoint, which names the crash.
     incarnation: String,
-    /// Hash of the content of the request.
-    content: Content,
+    /// Contents of the request.
+    contents: Vec<Content>,
 }
 
 impl Driver {
     /// Keeps an attempt whose connection broke as a possible crash, and checks whether the endpoint
     /// still accepts connections: its entry may stay listed for seconds after a crash.
-    pub(super) fn record_broken(&mut self, service: &str, endpoint: &str, content: Content) {
+    pub(super) fn record_broken(&mut self, service: &str, endpoint: &str, contents: Vec<Content>) {
         let at = self.clock.now();
         let incarnation = self.incarnation(service, endpoint);
-        self.broken.push(BrokenAttempt { at, endpoint: endpoint.to_owned(), incarnation, content });
+        self.broken.push(BrokenAttempt {
+            at,
+            endpoint: endpoint.to_owned(),
+            incarnation,
+            contents,
+        });
         self.probe(service, endpoint);
     }
 
@@ -100,15 +107,21 @@
             return;
         }
         let age = matching.iter().map(|b| now.saturating_sub(b.at)).max();
-        let contents: Vec<Content> = matching.iter().map(|b| b.content).collect();
-        let crashes = matching.iter().map(|b| (b.content, b.incarnation.as_str()));
-        let new = self.count_crashes(now, crashes, evidence);
-        matching.iter().for_each(|b| self.reports.add(now, b.content, &b.incarnation));
+        let crashes: IndexSet<(Content, &str)> = matching
+            .iter()
+            .flat_map(|b| b.contents.iter().map(|content| (*content, b.incarnation.as_str())))
+            .collect();
+        let new = self.count_crashes(now, crashes.iter().copied(), evidence);
+        let counted = crashes.iter().filter(|(content, _)| !self.suspects.is_sound(*content));
+        let counted: Vec<(Content, &str)> = counted.copied().collect();
+        counted.iter().for_each(|(content, crash)| self.reports.add(now, *content, crash));
+        let contents: Vec<Content> = counted.iter().map(|(content, _)| *content).collect();
         self.schedule_heartbeat();
         tracing::info!(
             endpoint,
             evidence,
             age,
+            requests = matching.len(),
             contents = contents.len(),
             new,
             most = self.most_crashes(&contents),
@@ -151,9 +164,34 @@
         contents.iter().map(|c| self.suspects.crash_count(*c)).max().unwrap_or_default()
     }
 
-    /// Counts the crashes that a peer reports.
+    /// True if a request with these contents must not run.
+    pub(super) fn is_quarantined(&self, now: Millis, contents: &[Content]) -> bool {
+        let state = |content: &Content| self.suspects.state(now, *content);
+        contents.iter().any(|c| matches!(state(c), ContentState::Quarantined { .. }))
+    }
+
+    /// Records that an endpoint has answered on prompt segments.
+    pub(super) fn record_sound(&mut self, segments: &[Content]) {
+        let now = self.clock.now();
+        for segment in segments {
+            if self.suspects.record_sound(now, *segment) {
+                tracing::info!(content = segment, "relay: quarantine ended, segment is sound");
+            }
+        }
+    }
+
+    /// Counts the crashes that a peer reports. Where they concern a segment that is known to be
+    /// sound here, the peers are told.
     pub(super) fn apply_crash_reports(&mut self, heartbeat: &Heartbeat) {
         let now = self.clock.now();
+        heartbeat.sound.iter().for_each(|segment| _ = self.sound_news.swap_remove(segment));
+        self.record_sound(&heartbeat.sound);
+        let reported = heartbeat.crashes.iter().map(|(content, _)| *content);
+        let sound: Vec<Content> = reported.filter(|c| self.suspects.is_sound(*c)).collect();
+        if !sound.is_empty() {
+            self.sound_news.extend(sound);
+            self.schedule_heartbeat();
+        }
         let crashes = heartbeat.crashes.iter().map(|(content, id)| (*content, id.as_str()));
         let new = self.count_crashes(now, crashes, &heartbeat.name);
         if new == 0 {
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -6,7 +6,6 @@
 use crate::adapter::clock::Millis;
 use crate::fleet::replica::Topic;
 use crate::policy::place::{Balancer, Choice, Load, Requirements};
-use crate::policy::suspect::ContentState;
 use crate::policy::window::RetryWindow;
 use crate::relay::caller::Request;
 use crate::relay::exchange::Exchange;
@@ -123,7 +122,7 @@
         let service = route.pick_service(rand::random()).ok_or(RefuseReason::NoService)?;
         let now = self.clock.now();
         let exchange = Exchange::new(names, request, route, service, workspace, table.version);
-        if let ContentState::Quarantined { .. } = self.suspects.state(now, exchange.content_hash) {
+        if self.is_quarantined(now, &exchange.contents) {
             return Err(RefuseReason::Quarantined);
         }
         self.pool(service).window.record_request(now);
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use mio::net::{TcpListener, UdpSocket};
 use mio::{Events, Interest, Poll, Token, Waker};
 use slab::Slab;
@@ -33,7 +33,7 @@
 use crate::adapter::clock::{Clock, Millis};
 use crate::policy::place::Balancer;
 use crate::policy::report::Reports;
-use crate::policy::suspect::Suspects;
+use crate::policy::suspect::{Content, Suspects};
 use crate::policy::window::{RetryRule, RetryWindow};
 
 const WAKE: Token = Token(0);
@@ -116,6 +116,8 @@
     suspects: Suspects,
     /// Crashes to report to peers.
     reports: Reports,
+    /// Segments known to be sound, which peers have reported crashes of.
+    sound_news: IndexSet<Content>,
     /// Heartbeats to the instances of this one's group.
     heartbeats: Outbox,
     /// Digests for other groups, while this instance represents its own.
@@ -178,6 +180,7 @@
             peers,
             suspects: Suspects::default(),
             reports: Reports::default(),
+            sound_news: IndexSet::new(),
             heartbeats: Outbox::heartbeats(),
             representative: Representative::default(),
             stale: Vec::new(),
--- a/src/relay/driver/outcome.rs
+++ b/src/relay/driver/outcome.rs
@@ -4,6 +4,7 @@
 use super::dispatch::RefuseReason;
 use crate::policy::attempt::{Action, FailureKind, RetryState};
 use crate::policy::place::Endpoint;
+use crate::policy::suspect::Content;
 use crate::relay::stats::{FailureLabels, RequestLabels, RouteLabels};
 
 /// Time for which a stale incarnation is reported to peers.
@@ -63,7 +64,7 @@
             left: exchange.deadline.saturating_sub(now),
         };
         let placement = exchange.placement.take();
-        let (service, content) = (exchange.service.clone(), exchange.content_hash);
+        let (service, contents) = (exchange.service.clone(), exchange.contents.clone());
         let endpoint = placement.as_ref().map(|p| p.endpoint.clone()).unwrap_or_default();
         exchange.requirements.avoid.push(endpoint.clone());
         let (id, route) = (exchange.id.clone(), exchange.route.name.clone());
@@ -71,7 +72,8 @@
             self.pool(&service).balancer.end(placement);
             self.schedule_heartbeat();
         }
-        self.record_failure(&service, &endpoint, cause, content);
+        let content = contents[0];
+        self.record_failure(&service, &endpoint, cause, contents);
         let sharers = self.peers.sharers(now);
         let rule = self.setup.retries;
         let next =
@@ -137,10 +139,16 @@
 
     /// Records a failed attempt against its endpoint, which may eject it or mark it as stale. A
     /// broken connection is kept as a possible crash.
-    fn record_failure(&mut self, service: &str, endpoint: &str, cause: Cause, content: u64) {
+    fn record_failure(
+        &mut self,
+        service: &str,
+        endpoint: &str,
+        cause: Cause,
+        contents: Vec<Content>,
+    ) {
         let now = self.clock.now();
         if cause == Cause::ConnectionLost {
-            self.record_broken(service, endpoint, content);
+            self.record_broken(service, endpoint, contents);
         }
         if cause == Cause::Stale {
             self.record_crash(endpoint, "stale");
@@ -172,6 +180,12 @@
         };
         exchange.link = None;
         let service = exchange.service.clone();
+        let answered = success && exchange.splitter.passed() > 0;
+        let segments = if answered { exchange.segments().to_vec() } else { Vec::new() };
+        self.record_sound(&segments);
+        let Some(exchange) = self.callers.get_mut(caller).and_then(|c| c.exchange.as_mut()) else {
+            return;
+        };
         let Some(placement) = exchange.placement.take() else { return };
         let balancer = &mut self.pool(&service).balancer;
         balancer.end(&placement);
--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -129,8 +129,10 @@
         self.next_heartbeat = now + gossip::INTERVAL;
         self.last_heartbeat = now;
         self.timers.set(self.next_heartbeat, Owner::Gossip);
-        let state = Heartbeat { crashes: self.take_crash_reports(now), ..self.state(now) };
-        self.representative.add_crashes(&state.crashes);
+        let crashes = self.take_crash_reports(now);
+        let sound = std::mem::take(&mut self.sound_news).into_iter().collect();
+        let state = Heartbeat { crashes, sound, ..self.state(now) };
+        self.representative.add_crashes(&state.crashes, &state.sound);
         let heartbeat = self.heartbeats.next(now, state);
         self.send_datagrams(&heartbeat, &self.peers.addrs().collect::<Vec<_>>());
         self.apply_peer_loads(now);
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -13,6 +13,7 @@
 use super::wire::{self, Head};
 use crate::adapter::clock::Millis;
 use crate::policy::place::{Placement, Requirements};
+use crate::policy::suspect::{Content, segment_content};
 
 /// Number of the least urgent priority that engines support; 0 is the most urgent.
 const LOWEST_PRIORITY: u8 = 9;
@@ -45,8 +46,9 @@
     pub(super) head: Head,
     pub(super) body: Vec<u8>,
     pub(super) requirements: Requirements,
-    /// Hash of its target, workspace and body.
-    pub(super) content_hash: u64,
+    /// Hash of its target, workspace and body, then its shared prompt segments: what may crash an
+    /// endpoint.
+    pub(super) contents: Vec<Content>,
     /// Version of the table under which it was admitted.
     pub(super) version: u64,
     pub(super) arrived: Millis,
@@ -83,6 +85,9 @@
         let Request { head, body, arrived } = request;
         let mut requirements = requirements(names, &head, body.len(), route);
         requirements.priority = route.priority;
+        let segments = requirements.shared().iter().map(|(id, _)| segment_content(*id));
+        let whole = content_hash(&head, &body, workspace.map(AsRef::as_ref));
+        let contents = std::iter::once(whole).chain(segments).collect();
         let last = head.get(names.last_event).and_then(|v| v.parse().ok());
         let given = head.get(names.deadline).and_then(|v| v.parse().ok());
         let timeout = given.unwrap_or(u64::MAX).min(route.timeout);
@@ -91,7 +96,7 @@
             route: Arc::clone(route),
             service: service.to_owned(),
             workspace: workspace.cloned(),
-            content_hash: content_hash(&head, &body, workspace.map(AsRef::as_ref)),
+            contents,
             head,
             body,
             requirements,
@@ -110,6 +115,11 @@
         }
     }
 
+    /// The contents of its shared prompt segments.
+    pub(super) fn segments(&self) -> &[Content] {
+        &self.contents[1..]
+    }
+
     pub(super) fn kind(&self) -> RouteKind {
         self.route.kind
     }
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -9,6 +9,7 @@
 use super::groups;
 use crate::adapter::clock::Millis;
 use crate::policy::place::{Load, Samples};
+use crate::policy::suspect::Content;
 
 /// Maximum interval between datagrams to a peer, in milliseconds.
 pub const INTERVAL: u64 = 400;
@@ -89,9 +90,9 @@
     /// Endpoint incarnations that the sender found gone from their address.
     #[serde(rename = "g")]
     pub stale: Vec<String>,
-    /// Crashes by content: hash of the content and incarnation of the endpoint.
+    /// Crashes: content and incarnation of the endpoint.
     #[serde(rename = "c")]
-    pub crashes: Vec<(u64, String)>,
+    pub crashes: Vec<(Content, String)>,
     /// What the sender's requests have shown of the engines' speed, by service, if `full`.
     #[serde(rename = "v", default)]
     pub speeds: IndexMap<String, Samples>,
@@ -101,6 +102,9 @@
     /// Hashes of the names of instances with queued requests, in a digest.
     #[serde(rename = "b", default)]
     pub contenders: Vec<u64>,
+    /// Prompt segments that endpoints have answered on and a peer has reported crashes of.
+    #[serde(rename = "u", default)]
+    pub sound: Vec<Content>,
 }
 
 /// Another instance of the fleet, or a group of instances that a digest stands for.
--- a/src/relay/groups.rs
+++ b/src/relay/groups.rs
@@ -73,6 +73,8 @@
     stale: Vec<String>,
     /// Crashes by content reported since the last message.
     crashes: IndexSet<(Content, String)>,
+    /// Sound segments reported since the last message.
+    sound: IndexSet<Content>,
 }
 
 impl Outbox {
@@ -85,6 +87,7 @@
             segments: IndexMap::new(),
             stale: Vec::new(),
             crashes: IndexSet::new(),
+            sound: IndexSet::new(),
         }
     }
 
@@ -98,14 +101,14 @@
         self.segments.entry(endpoint.to_owned()).or_default().extend(segments);
     }
 
-    /// Adds segments, stale incarnations and crashes that another instance has found to the next
-    /// message.
+    /// Adds what another instance has reported to the next message.
     fn add_news(&mut self, news: News) {
         for (endpoint, segments) in news.segments {
             self.add_segments(&endpoint, segments.into_iter());
         }
         self.stale.extend(news.stale);
         self.crashes.extend(news.crashes);
+        self.sound.extend(news.sound);
     }
 
     /// Makes the next message from the complete state. All of it is sent at intervals, and else the
@@ -123,6 +126,7 @@
         state.segments = std::mem::take(&mut self.segments);
         state.stale.append(&mut self.stale);
         state.crashes.extend(self.crashes.drain(..self.crashes.len().min(MAX_REPORTS)));
+        state.sound.extend(self.sound.drain(..));
         if !state.full {
             state.domain.clear();
             state.speeds.clear();
@@ -146,6 +150,7 @@
         self.segments.clear();
         self.stale.clear();
         self.crashes.clear();
+        self.sound.clear();
     }
 }
 
@@ -156,6 +161,7 @@
     segments: IndexMap<String, Vec<u64>>,
     stale: Vec<String>,
     crashes: Vec<(Content, String)>,
+    sound: Vec<Content>,
 }
 
 impl From<&Heartbeat> for News {
@@ -165,6 +171,7 @@
             segments: message.segments.clone(),
             stale: message.stale.clone(),
             crashes: message.crashes.clone(),
+            sound: message.sound.clone(),
         }
     }
 }
@@ -216,10 +223,11 @@
         }
     }
 
-    /// Adds crashes that this instance reports.
-    pub fn add_crashes(&mut self, crashes: &[(Content, String)]) {
+    /// Adds crashes and sound segments that this instance reports.
+    pub fn add_crashes(&mut self, crashes: &[(Content, String)], sound: &[Content]) {
         if self.active {
             self.group.crashes.extend(crashes.iter().cloned());
+            self.group.sound.extend(sound);
         }
     }
 
--- a/tests/groups.rs
+++ b/tests/groups.rs
@@ -255,7 +255,7 @@
     for part in seen.chunks(MAX_REPORTS) {
         let node = &mut fleet.nodes[5];
         let heartbeat = Heartbeat { crashes: part.to_vec(), ..state(node) };
-        node.representative.add_crashes(&heartbeat.crashes);
+        node.representative.add_crashes(&heartbeat.crashes, &[]);
         let message = node.heartbeats.next(fleet.now + 1, heartbeat);
         let (from, addrs) = (node.addr, node.peers.addrs().collect::<Vec<_>>());
         fleet.deliver(from, &message, &addrs);
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -18,7 +18,7 @@
 use sassafrasworks::policy::pool::{Arrival, Grant, Load, Outcome, Pool, Step};
 use sassafrasworks::policy::report::{MAX_REPORTS, Reports};
 use sassafrasworks::policy::share::{Demand, Rule, divide};
-use sassafrasworks::policy::suspect::{ContentState, Counted, Suspects};
+use sassafrasworks::policy::suspect::{ContentState, Counted, Suspects, segment_content};
 use sassafrasworks::policy::{Job, Refusal};
 use uuid::Uuid;
 
@@ -575,3 +575,26 @@
     assert_ne!(times.estimate("chat", &name(0)), 0.0, "the class stands in for the oldest");
     assert_eq!(times.estimate("chat", &name(0)), times.class_estimate("chat"));
 }
+
+#[test]
+fn sound_segments_are_not_blamed_for_the_crashes_beside_them() {
+    let (cause, common, late) = (segment_content(1), segment_content(2), segment_content(3));
+    let mut suspects = Suspects::default();
+    suspects.record_sound(0, common);
+    for (now, crash) in [(10, "engine-1/a"), (20, "engine-2/a"), (30, "engine-3/a")] {
+        assert_eq!(suspects.record_crash(now, common, crash, 3, 600_000), Counted::Known);
+        suspects.record_crash(now, cause, crash, 3, 600_000);
+        suspects.record_crash(now, late, crash, 3, 600_000);
+    }
+    assert!(matches!(suspects.state(40, cause), ContentState::Quarantined { .. }));
+    assert_eq!(suspects.state(40, common), ContentState::Clear);
+    // A peer has seen an answer on the third one.
+    assert!(suspects.record_sound(50, late));
+    assert_eq!(suspects.state(60, late), ContentState::Clear);
+    assert_eq!(suspects.record_crash(70, late, "engine-4/a", 3, 600_000), Counted::Known);
+    // What was sound long ago counts again.
+    assert_eq!(suspects.state(200_000, cause), ContentState::Quarantined { until: 600_030 });
+    suspects.record_sound(70_000, segment_content(4));
+    suspects.record_sound(140_000, segment_content(5));
+    assert_eq!(suspects.record_crash(140_001, common, "engine-5/a", 3, 600_000), Counted::New);
+}
