End requests whose content is quarantined while they wait or run

Cause: the quarantine was looked up on admission only. Change: it is looked up before each send; when a content is quarantined, requests with it that wait are refused as not run, and those at an endpoint that hasn't answered are cancelled there and answered 502, as they may have run. Deferred to the end of the loop's turn, as a crash may be recorded while the request that broke is being handled.

queued_request_is_refused_once_its_segment_is_quarantined (paused clock) and running_request_is_cancelled_once_its_content_is_quarantined failed before.

--- a/src/relay/driver/crashes.rs
+++ b/src/relay/driver/crashes.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexSet;
 
 use super::Driver;
+use super::dispatch::RefuseReason;
 use crate::adapter::clock::Millis;
 use crate::policy::place::Listing;
 use crate::policy::suspect::{Content, ContentState, Counted};
@@ -152,6 +153,7 @@
                 self.suspects.record_crash(now, content, crash, CRASH_LIMIT, QUARANTINE_MS);
             new += usize::from(counted != Counted::Known);
             if counted == Counted::Quarantined {
+                self.quarantine_changed = true;
                 tracing::warn!(content, crash, source, "relay: content quarantined");
             }
         }
@@ -170,6 +172,36 @@
         contents.iter().any(|c| matches!(state(c), ContentState::Quarantined { .. }))
     }
 
+    /// Ends the requests whose content has been quarantined since they were admitted: those that wait,
+    /// and those at an endpoint that hasn't answered yet.
+    pub(super) fn end_quarantined(&mut self) {
+        if !std::mem::take(&mut self.quarantine_changed) {
+            return;
+        }
+        let now = self.clock.now();
+        let exchanges = self.callers.iter().filter_map(|(i, c)| Some((i, c.exchange.as_ref()?)));
+        let found =
+            exchanges.filter(|(_, e)| !e.streaming && self.is_quarantined(now, &e.contents));
+        let found: Vec<usize> = found.map(|(i, _)| i).collect();
+        for caller in found {
+            self.end_quarantined_request(caller);
+        }
+    }
+
+    /// Refuses a request with a quarantined content. Where it may have run, its outcome is unknown.
+    pub(super) fn end_quarantined_request(&mut self, caller: usize) {
+        let Some(exchange) = self.callers.get(caller).and_then(|c| c.exchange.as_ref()) else {
+            return;
+        };
+        let may_have_run = exchange.runs > 0 || exchange.link.is_some();
+        self.release_resources(caller);
+        if may_have_run {
+            self.fail(caller, 502, RefuseReason::Quarantined.message());
+        } else {
+            self.refuse(caller, RefuseReason::Quarantined);
+        }
+    }
+
     /// Records that an endpoint has answered on prompt segments.
     pub(super) fn record_sound(&mut self, segments: &[Content]) {
         let now = self.clock.now();
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -141,6 +141,11 @@
 
     /// Sends a request to an endpoint, or queues it.
     pub(super) fn dispatch(&mut self, index: usize) {
+        let now = self.clock.now();
+        let exchange = self.callers[index].exchange.as_ref();
+        if exchange.is_some_and(|e| self.is_quarantined(now, &e.contents)) {
+            return self.end_quarantined_request(index);
+        }
         if self.must_wait(index) {
             return self.enqueue(index, "behind others", Load::default());
         }
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -116,6 +116,8 @@
     suspects: Suspects,
     /// Crashes to report to peers.
     reports: Reports,
+    /// Contents were quarantined since the last turn of the loop.
+    quarantine_changed: bool,
     /// Segments known to be sound, which peers have reported crashes of.
     sound_news: IndexSet<Content>,
     /// Heartbeats to the instances of this one's group.
@@ -180,6 +182,7 @@
             peers,
             suspects: Suspects::default(),
             reports: Reports::default(),
+            quarantine_changed: false,
             sound_news: IndexSet::new(),
             heartbeats: Outbox::heartbeats(),
             representative: Representative::default(),
@@ -219,6 +222,7 @@
                 self.handle_event(event.token(), event.is_readable(), event.is_writable());
             }
             self.fire_timers();
+            self.end_quarantined();
             self.drain_queue(self.clock.now());
             if self.stop_delay_passed() {
                 self.close_idle();
--- a/src/relay/driver/outcome.rs
+++ b/src/relay/driver/outcome.rs
@@ -246,7 +246,7 @@
     }
 
     /// Answers with an error; the request may have run.
-    fn fail(&mut self, caller: usize, status: u16, why: &'static str) {
+    pub(super) fn fail(&mut self, caller: usize, status: u16, why: &'static str) {
         self.record_outcome(caller, why);
         self.respond(caller, status, None, why);
     }
@@ -292,7 +292,7 @@
 
     /// Releases the queue entry, load and connection of a request. Closing the connection cancels
     /// the work at the endpoint.
-    fn release_resources(&mut self, caller: usize) {
+    pub(super) fn release_resources(&mut self, caller: usize) {
         let Some(exchange) = self.callers[caller].exchange.as_mut() else { return };
         let (link, key, placement) =
             (exchange.link.take(), exchange.queue_key.take(), exchange.placement.take());
