Check refused connections at the end of a turn, also those refused at once

A connect may be refused before it returns; only the log said so, and the crash behind it didn't count. Links that closed in the same turn could also look open still, which hides a crash. Found by reading; the system's loopback refuses later, so no test forces it.

--- a/src/relay/driver/crashes.rs
+++ b/src/relay/driver/crashes.rs
@@ -64,9 +64,16 @@
         }
     }
 
+    /// Handles the refused connections of this turn of the loop.
+    pub(super) fn check_refused(&mut self) {
+        for (service, endpoint) in std::mem::take(&mut self.refused) {
+            self.connection_refused(&service, &endpoint);
+        }
+    }
+
     /// Handles a refused connection. If requests broke at the endpoint and no connection to it is
     /// open, it has crashed.
-    pub(super) fn connection_refused(&mut self, service: &str, endpoint: &str) {
+    fn connection_refused(&mut self, service: &str, endpoint: &str) {
         let now = self.clock.now();
         let is_open = self.links.iter().any(|(_, l)| l.endpoint == endpoint && l.connected);
         let is_broken = self.broken.iter().any(|b| b.endpoint == endpoint);
--- a/src/relay/driver/links.rs
+++ b/src/relay/driver/links.rs
@@ -51,7 +51,11 @@
         service: &str,
         addr: SocketAddr,
     ) -> io::Result<usize> {
-        let sock = TcpStream::connect(addr)?;
+        let sock = TcpStream::connect(addr).inspect_err(|e| {
+            if e.kind() == io::ErrorKind::ConnectionRefused {
+                self.refused.push((service.to_owned(), endpoint.to_owned()));
+            }
+        })?;
         let now = self.clock.now();
         let serial = self.next_serial();
         let index = self.links.insert(Link::new(sock, serial, endpoint, service, now));
@@ -104,11 +108,10 @@
         };
         if let Some(error) = error {
             let unsent = link.sock.peer_addr().is_err();
-            let (service, endpoint) = (link.service.clone(), link.endpoint.clone());
-            self.link_ended(index, Disconnect::Reset, unsent);
             if error.kind() == io::ErrorKind::ConnectionRefused {
-                self.connection_refused(&service, &endpoint);
+                self.refused.push((link.service.clone(), link.endpoint.clone()));
             }
+            self.link_ended(index, Disconnect::Reset, unsent);
             return false;
         }
         link.connected = true;
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -116,6 +116,8 @@
     suspects: Suspects,
     /// Crashes to report to peers.
     reports: Reports,
+    /// Service and endpoint of connections that were refused since the last turn of the loop.
+    refused: Vec<(String, String)>,
     /// Contents were quarantined since the last turn of the loop.
     quarantine_changed: bool,
     /// Segments known to be sound, which peers have reported crashes of.
@@ -182,6 +184,7 @@
             peers,
             suspects: Suspects::default(),
             reports: Reports::default(),
+            refused: Vec::new(),
             quarantine_changed: false,
             sound_news: IndexSet::new(),
             heartbeats: Outbox::heartbeats(),
@@ -222,6 +225,7 @@
                 self.handle_event(event.token(), event.is_readable(), event.is_writable());
             }
             self.fire_timers();
+            self.check_refused();
             self.end_quarantined();
             self.drain_queue(self.clock.now());
             if self.stop_delay_passed() {
