Unframed streams: an end before the first event or inside one is a lost connection

An answer without length or chunks ends with its connection. A stream that ended so before its first event was passed on as a complete, empty one; one that ended inside an event was broken off towards the caller, but taken for a malformed answer, so that a crash behind it didn't count against its contents.

stream_without_framing_that_ends_before_its_first_event_is_not_complete (200 for 502) and crash_in_a_stream_without_framing_counts (no crash recorded) failed before. stream_without_framing_is_complete_unless_it_ends_inside_an_event passed already and stays.

--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -220,6 +220,12 @@
         let Some(exchange) = self.callers.get(caller).and_then(|c| c.exchange.as_ref()) else {
             return;
         };
+        let by_close = self.links[index].decoder.as_ref().is_some_and(Decoder::until_close);
+        // A stream that was resumed may have nothing left to send.
+        let empty = !exchange.streaming && exchange.splitter.last().is_none();
+        if by_close && (empty || exchange.splitter.has_partial()) {
+            return self.link_failed(index, Cause::ConnectionLost);
+        }
         if exchange.splitter.has_partial() {
             return self.link_failed(index, Cause::InvalidResponse);
         }
