Report quarantines at a rate that doesn't grow with the fleet

Each instance repeated the crashes behind all quarantines every 2 s, so what an instance receives grew with the number of peers, and in large fleets with the size of its group. The interval grows with the number of peers now, with a random part, so that an instance that joins still hears of a quarantine within about 2 s from someone. reports_of_a_quarantine_that_an_instance_receives_do_not_grow_with_the_fleet: 1 to 300 peers. Found by reading.

--- a/src/policy/report.rs
+++ b/src/policy/report.rs
@@ -16,16 +16,19 @@
 /// Longest interval between two reports of a crash, in milliseconds; after that it is not repeated.
 /// Instances that were cut off for less time receive it.
 const LAST_INTERVAL: u64 = 16_000;
-/// Interval between two reports of the crashes behind a quarantine, in milliseconds: an instance that
-/// joins must know of it soon.
+/// Mean interval between two reports of the crashes behind a quarantine, in milliseconds: an instance
+/// that joins must hear of them soon.
 const QUARANTINE_INTERVAL: u64 = 2_000;
+/// Number of peers up to which [`QUARANTINE_INTERVAL`] applies; with more, the interval grows in
+/// proportion, so that what an instance receives stays the same.
+const INTERVAL_PEERS: usize = 8;
 
 /// How often a report is repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Repeat {
     /// At intervals that grow; the next one is given in milliseconds.
     Fading(u64),
-    /// Until the quarantine ends.
+    /// Once for each refresh, until the quarantine ends.
     Steady,
 }
 
@@ -54,12 +57,20 @@
     }
 
     /// Replaces the crashes behind quarantines, which are repeated until they are no longer given
-    /// here. `crashes` is called once per [`QUARANTINE_INTERVAL`].
-    pub fn refresh(&mut self, now: Millis, crashes: impl FnOnce() -> Vec<Crash>) {
+    /// here. `crashes` is called once per interval, which follows from the number of peers. `draw`
+    /// is a random number from 0 to 1: it spreads the reports of different instances.
+    pub fn refresh(
+        &mut self,
+        now: Millis,
+        peers: usize,
+        draw: f64,
+        crashes: impl FnOnce() -> Vec<Crash>,
+    ) {
         if now < self.refresh_at {
             return;
         }
-        self.refresh_at = now + QUARANTINE_INTERVAL;
+        let interval = QUARANTINE_INTERVAL * peers.max(INTERVAL_PEERS) as u64 / INTERVAL_PEERS as u64;
+        self.refresh_at = now + (interval as f64 * (0.5 + draw)) as u64;
         let crashes = crashes();
         self.map.retain(|_, s| s.repeat != Repeat::Steady);
         for crash in crashes {
@@ -99,7 +110,7 @@
                 self.next = now + interval;
                 self.repeat = Repeat::Fading(2 * interval);
             }
-            Repeat::Steady => self.next = now + QUARANTINE_INTERVAL,
+            Repeat::Steady => self.next = Millis::MAX,
         }
     }
 }
--- a/src/relay/driver/crashes.rs
+++ b/src/relay/driver/crashes.rs
@@ -147,7 +147,8 @@
         }
     }
 
-    /// Counts crashes (content and incarnation) against contents, and returns how many were not known before.
+    /// Counts crashes (content and incarnation) against contents, and returns how many were not known
+    /// before.
     fn count_crashes<'a>(
         &mut self,
         now: Millis,
@@ -248,8 +249,9 @@
 
     /// Crashes by content for the next heartbeat.
     pub(super) fn take_crash_reports(&mut self, now: Millis) -> Vec<(Content, String)> {
-        let suspects = &self.suspects;
-        self.reports.refresh(now, || suspects.evidence(now, CRASH_LIMIT));
+        let (suspects, peers) = (&self.suspects, self.peers.addrs().count());
+        let evidence = || suspects.evidence(now, CRASH_LIMIT);
+        self.reports.refresh(now, peers, rand::random(), evidence);
         let taken = self.reports.take(now);
         self.metrics.reports_due.set(self.reports.due(now) as i64);
         taken
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -523,14 +523,14 @@
     crashes.iter().for_each(|c| _ = suspects.record_crash(0, 7, c, 3, 600_000));
     let mut reports = Reports::default();
     for now in (0..600_000).step_by(5_000) {
-        reports.refresh(now, || suspects.evidence(now, 3));
+        reports.refresh(now, 8, 0.5, || suspects.evidence(now, 3));
         let mut peer = Suspects::default();
         let taken = reports.take(now);
         taken.iter().for_each(|(content, c)| _ = peer.record_crash(now, *content, c, 3, 600_000));
         assert_eq!(taken.len(), 3, "as many as make a peer quarantine it");
         assert!(matches!(peer.state(now, 7), ContentState::Quarantined { .. }));
     }
-    reports.refresh(600_000, || suspects.evidence(600_000, 3));
+    reports.refresh(600_000, 8, 0.5, || suspects.evidence(600_000, 3));
     assert_eq!(reports.take(600_000), []);
 }
 
@@ -598,3 +598,23 @@
     suspects.record_sound(140_000, segment_content(5));
     assert_eq!(suspects.record_crash(140_001, common, "engine-5/a", 3, 600_000), Counted::New);
 }
+
+#[test]
+fn reports_of_a_quarantine_that_an_instance_receives_do_not_grow_with_the_fleet() {
+    let evidence = || vec![(7, "engine-1/a".to_owned())];
+    let received = |peers: usize| {
+        let mut all: Vec<Reports> = (0..peers).map(|_| Reports::default()).collect();
+        let mut told = 0;
+        for now in (0..100_000).step_by(100) {
+            for (i, reports) in all.iter_mut().enumerate() {
+                reports.refresh(now, peers, i as f64 / peers as f64, evidence);
+                told += reports.take(now).len();
+            }
+        }
+        told as f64 / 100.0
+    };
+    for peers in [1, 8, 84, 300] {
+        let rate = received(peers);
+        assert!((0.3..8.0).contains(&rate), "{peers} peers: {rate} a second");
+    }
+}
