--- a/src/policy/report.rs
+++ b/src/policy/report.rs
@@ -69,7 +69,8 @@
         if now < self.refresh_at {
             return;
         }
-        let interval = QUARANTINE_INTERVAL * peers.max(INTERVAL_PEERS) as u64 / INTERVAL_PEERS as u64;
+        let interval =
+            QUARANTINE_INTERVAL * peers.max(INTERVAL_PEERS) as u64 / INTERVAL_PEERS as u64;
         self.refresh_at = now + (interval as f64 * (0.5 + draw)) as u64;
         let crashes = crashes();
         self.map.retain(|_, s| s.repeat != Repeat::Steady);
