Log the size of a prompt and the check that holds a request back

A choice now names the check that the closest endpoint failed; lines and a histogram of prompt tokens by outcome carry it on. No decision changes.

--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -133,13 +133,49 @@
     }
 }
 
+closed! {
+    /// Why an endpoint doesn't take a request now, in the order in which it is checked.
+    pub enum Block {
+        /// The request still waits for an endpoint that has its shared segments cached.
+        Patience,
+        /// Its shared segments would be recomputed while other prompts are pending.
+        Recompute,
+        /// Too much prefill for the tight partition.
+        Overflow,
+        /// It is another instance's turn.
+        Turn,
+        /// The batch is full.
+        Batch,
+        /// Too much prefill is pending.
+        Prefill,
+        /// The KV cache is full.
+        Memory,
+    }
+}
+
+impl Block {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Patience => "patience",
+            Self::Recompute => "recompute",
+            Self::Overflow => "overflow",
+            Self::Turn => "turn",
+            Self::Batch => "batch",
+            Self::Prefill => "prefill",
+            Self::Memory => "memory",
+        }
+    }
+}
+
 /// Result of [`Balancer::choose`].
 #[derive(Debug, Clone, PartialEq)]
 pub enum Choice {
     /// Id of the endpoint that takes the request, and its load at the time of the choice.
     Chosen(String, Load),
-    /// All eligible endpoints are full, or it is another instance's turn; holds the lowest load.
-    Full(Load),
+    /// No eligible endpoint takes the request now: the lowest load among them, and why the one that
+    /// passed the most checks doesn't.
+    Full(Load, Block),
     /// No endpoint is eligible.
     NoEndpoint,
 }
@@ -287,10 +323,10 @@
         let is_tight = self.profile.is_tight(needs.gap);
         let own = if is_tight { tight } else { loose };
         match self.cheapest(now, own, needs, false) {
-            Some(i) => self.chosen(i),
-            None => match self.overflow(now, tight, loose, needs) {
+            Ok(i) => self.chosen(i),
+            Err(block) => match self.overflow(now, tight, loose, needs) {
                 Some(i) => self.chosen(i),
-                None => Choice::Full(self.least_load(own)),
+                None => Choice::Full(self.least_load(own), block),
             },
         }
     }
@@ -304,10 +340,10 @@
         needs: &Requirements,
     ) -> Option<usize> {
         if !self.profile.is_tight(needs.gap) {
-            return self.cheapest(now, tight, needs, true);
+            return self.cheapest(now, tight, needs, true).ok();
         }
         let waited = needs.waited as f64 >= MAX_PATIENCE_FRACTION * needs.target();
-        if waited { self.cheapest(now, loose, needs, false) } else { None }
+        if waited { self.cheapest(now, loose, needs, false).ok() } else { None }
     }
 
     fn chosen(&self, index: usize) -> Choice {
@@ -330,19 +366,21 @@
         candidates: &[usize],
         needs: &Requirements,
         overflow: bool,
-    ) -> Option<usize> {
+    ) -> Result<usize, Block> {
         let home = needs.shared().last().and_then(|(segment, _)| self.home(*segment, candidates));
         let uncached: Vec<Uncached> =
             candidates.iter().map(|i| self.endpoints[*i].uncached(now, needs)).collect();
         let least = uncached.iter().map(|u| u.shared).min().unwrap_or_default();
         let mut best: Option<(f64, usize)> = None;
+        let mut last = Block::Patience;
         for (&i, &uncached) in candidates.iter().zip(&uncached) {
             let e = &self.endpoints[i];
             let extra = uncached.shared - least;
-            if self.patience(needs, extra) > needs.waited as f64
-                || (extra > STEP_TOKENS && e.total().prefill > 0)
-                || !self.has_capacity(now, e, needs, uncached, overflow)
-            {
+            let blocked = self
+                .cache_block(e, needs, extra)
+                .or_else(|| self.capacity_block(now, e, needs, uncached, overflow));
+            if let Some(block) = blocked {
+                last = last.max(block);
                 continue;
             }
             let cost = self.cost(e, uncached, home == Some(i));
@@ -350,7 +388,16 @@
                 best = Some((cost, i));
             }
         }
-        best.map(|(_, i)| i)
+        best.map(|(_, i)| i).ok_or(last)
+    }
+
+    /// Why a request isn't sent to an endpoint that would recompute `extra` tokens of its shared
+    /// segments.
+    fn cache_block(&self, e: &Endpoint, needs: &Requirements, extra: u32) -> Option<Block> {
+        if self.patience(needs, extra) > needs.waited as f64 {
+            return Some(Block::Patience);
+        }
+        (extra > STEP_TOKENS && e.total().prefill > 0).then_some(Block::Recompute)
     }
 
     /// Maximum predicted time until the first event of a request, in milliseconds.
@@ -395,38 +442,45 @@
         usable.split_at(self.tight_count)
     }
 
-    /// True if the endpoint may take the request now, which has `uncached` tokens to prefill there.
-    /// With `overflow`, it is a request without a tight gap in the tight partition.
-    fn has_capacity(
+    /// Why the endpoint has no capacity for the request now, which has `uncached` tokens to prefill
+    /// there. With `overflow`, it is a request without a tight gap in the tight partition.
+    fn capacity_block(
         &self,
         now: Millis,
         e: &Endpoint,
         needs: &Requirements,
         uncached: Uncached,
         overflow: bool,
-    ) -> bool {
+    ) -> Option<Block> {
         let total = e.total();
         if self.profile.batch == 0 {
             let slots = f64::from(e.listing.slots.max(1));
-            return f64::from(total.running.max(e.reported())) < slots * PLAIN_DEPTH;
+            let full = f64::from(total.running.max(e.reported())) >= slots * PLAIN_DEPTH;
+            return full.then_some(Block::Batch);
         }
         let uncached = uncached.total();
         if overflow && total.prefill + uncached > OVERFLOW_LIMIT {
-            return false;
+            return Some(Block::Overflow);
         }
-        if uncached > TURN_MIN_TOKENS && total.running > 0 && !self.has_turn(now, &e.listing.id) {
-            return false;
+        if total.running == 0 {
+            return None;
+        }
+        if uncached > TURN_MIN_TOKENS && !self.has_turn(now, &e.listing.id) {
+            return Some(Block::Turn);
         }
         let factor = needs.priority_factor();
         let batch = f64::from(self.profile.batch);
+        if f64::from(total.running) >= batch * (BATCH_FRACTION * factor).min(MAX_BATCH_FRACTION) {
+            return Some(Block::Batch);
+        }
+        if total.prefill > 0
+            && self.speed.ms(total.prefill + uncached) > self.max_first(needs) * factor
+        {
+            return Some(Block::Prefill);
+        }
         let claimed = total.memory + needs.prompt + needs.output;
         let memory = f64::from(self.profile.memory) * MEMORY_FRACTION;
-        total.running == 0
-            || (f64::from(total.running)
-                < batch * (BATCH_FRACTION * factor).min(MAX_BATCH_FRACTION)
-                && (total.prefill == 0
-                    || self.speed.ms(total.prefill + uncached) <= self.max_first(needs) * factor)
-                && f64::from(claimed) <= memory)
+        (f64::from(claimed) > memory).then_some(Block::Memory)
     }
 
     /// Cost of placing a request on an endpoint, in prompt tokens; in requests for a plain service.
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -5,7 +5,7 @@
 use super::{DRAIN_MAX_MS, DRAIN_MIN_MS, Driver, Pool};
 use crate::adapter::clock::Millis;
 use crate::fleet::replica::Topic;
-use crate::policy::place::{Balancer, Choice, Load, Requirements};
+use crate::policy::place::{Balancer, Block, Choice, Load, Requirements};
 use crate::policy::window::RetryWindow;
 use crate::relay::caller::Request;
 use crate::relay::exchange::Exchange;
@@ -24,8 +24,8 @@
 /// Result of [`Driver::try_send`].
 enum SendOutcome {
     Sent,
-    /// All endpoints are full; contains the least load among them.
-    Full(Load),
+    /// No endpoint takes it now: the least load among them, and why.
+    Full(Load, Block),
     /// Not sent for the given reason.
     Unsent(&'static str),
 }
@@ -151,7 +151,7 @@
         }
         match self.try_send(index) {
             SendOutcome::Sent => {}
-            SendOutcome::Full(least) => self.enqueue(index, "no room", least),
+            SendOutcome::Full(least, block) => self.enqueue(index, block.name(), least),
             SendOutcome::Unsent(why) => self.enqueue(index, why, Load::default()),
         }
     }
@@ -191,6 +191,7 @@
             service = e.service,
             version = e.version,
             why,
+            prompt = e.requirements.prompt,
             queue = self.queue.len(),
             running = least.running,
             prefill = least.prefill,
@@ -265,7 +266,10 @@
         needs.waited = now.saturating_sub(exchange.arrived);
         let (endpoint, load) = match self.pool(&service).balancer.choose(now, &needs) {
             Choice::Chosen(endpoint, load) => (endpoint, load),
-            Choice::Full(least) => return SendOutcome::Full(least),
+            Choice::Full(least, block) => {
+                self.set_blocked(index, block);
+                return SendOutcome::Full(least, block);
+            }
             Choice::NoEndpoint => return SendOutcome::Unsent("no endpoint"),
         };
         let Some(link) = self.acquire_link(index, &service, &endpoint) else {
@@ -299,6 +303,12 @@
         SendOutcome::Sent
     }
 
+    fn set_blocked(&mut self, index: usize, block: Block) {
+        if let Some(exchange) = self.callers[index].exchange.as_mut() {
+            exchange.blocked = Some(block);
+        }
+    }
+
     /// An idle connection to an endpoint, or a new one.
     fn acquire_link(&mut self, index: usize, service: &str, endpoint: &str) -> Option<usize> {
         let exchange = self.callers[index].exchange.as_ref()?;
--- a/src/relay/driver/outcome.rs
+++ b/src/relay/driver/outcome.rs
@@ -3,7 +3,7 @@
 use super::Driver;
 use super::dispatch::RefuseReason;
 use crate::policy::attempt::{Action, FailureKind, RetryState};
-use crate::policy::place::Endpoint;
+use crate::policy::place::{Block, Endpoint};
 use crate::policy::suspect::Content;
 use crate::relay::stats::{FailureLabels, RequestLabels, RouteLabels};
 
@@ -210,11 +210,15 @@
         let took = now.saturating_sub(exchange.arrived);
         let first = exchange.first_at.map_or(0, |at| at.saturating_sub(exchange.arrived));
         let route = exchange.route.name.clone();
+        let prompt = exchange.requirements.prompt;
+        let blocked = exchange.blocked.map_or("", Block::name);
         tracing::info!(
             id = exchange.id,
             route,
             service = exchange.service,
             version = exchange.version,
+            prompt,
+            blocked,
             sends = exchange.sends,
             runs = exchange.runs,
             events = exchange.splitter.passed(),
@@ -224,6 +228,10 @@
         );
         let label = RouteLabels { route: route.clone() };
         self.metrics.duration.get_or_create(&label).observe(took as f64 / 1_000.0);
+        if prompt > 0 {
+            let label = RequestLabels { route: route.clone(), outcome };
+            self.metrics.prompts.get_or_create(&label).observe(f64::from(prompt));
+        }
         self.count_outcome(&route, outcome);
     }
 
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -12,7 +12,7 @@
 use super::table::{Route, RouteKind, Workspace};
 use super::wire::{self, Head};
 use crate::adapter::clock::Millis;
-use crate::policy::place::{Placement, Requirements};
+use crate::policy::place::{Block, Placement, Requirements};
 use crate::policy::suspect::{Content, segment_content};
 
 /// Number of the least urgent priority that engines support; 0 is the most urgent.
@@ -58,6 +58,8 @@
     pub(super) queue_deadline: Millis,
     /// Its key in the queue while it waits there.
     pub(super) queue_key: Option<QueueKey>,
+    /// Why no endpoint took it the last time.
+    pub(super) blocked: Option<Block>,
     /// Number of times that it was sent to an endpoint.
     pub(super) sends: u32,
     /// Number of those sends in which the endpoint may have run it.
@@ -105,6 +107,7 @@
             deadline: arrived + timeout,
             queue_deadline: arrived + max_queue_wait(route, timeout),
             queue_key: None,
+            blocked: None,
             sends: 0,
             runs: 0,
             link: None,
--- a/src/relay/stats.rs
+++ b/src/relay/stats.rs
@@ -15,6 +15,11 @@
 const FIRST_BUCKET: f64 = 0.005;
 /// Number of latency buckets.
 const BUCKETS: u16 = 13;
+/// Upper bound of the first bucket of prompt sizes, in tokens; each further bound is twice the
+/// previous one.
+const FIRST_PROMPT_BUCKET: f64 = 256.0;
+/// Number of buckets of prompt sizes.
+const PROMPT_BUCKETS: u16 = 10;
 
 /// Labels of a finished request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -57,6 +62,8 @@
     pub duration: Family<RouteLabels, Histogram, fn() -> Histogram>,
     /// Time spent in the queue, in seconds.
     pub queue_wait: Family<RouteLabels, Histogram, fn() -> Histogram>,
+    /// Prompt tokens of finished requests.
+    pub prompts: Family<RequestLabels, Histogram, fn() -> Histogram>,
     /// Number of connections opened to endpoints.
     pub connects: Counter,
     /// Version of the configuration in force.
@@ -75,6 +82,10 @@
     Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS))
 }
 
+fn prompt_size() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_PROMPT_BUCKET, 2.0, PROMPT_BUCKETS))
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let mut metrics = Self {
@@ -85,6 +96,7 @@
             first_byte: Family::new_with_constructor(latency as fn() -> Histogram),
             duration: Family::new_with_constructor(latency as fn() -> Histogram),
             queue_wait: Family::new_with_constructor(latency as fn() -> Histogram),
+            prompts: Family::new_with_constructor(prompt_size as fn() -> Histogram),
             connects: Counter::default(),
             config_version: Gauge::default(),
             waiting: Gauge::default(),
@@ -110,6 +122,7 @@
         r.register("first_seconds", "time to the first byte or event", self.first_byte.clone());
         r.register("whole_seconds", "time to the end of the answer", self.duration.clone());
         r.register("waited_seconds", "time spent waiting for room", self.queue_wait.clone());
+        r.register("prompt_tokens", "prompt tokens by route and outcome", self.prompts.clone());
         r.register("connects", "connections opened to endpoints", self.connects.clone());
         r.register(
             "config_version",
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -98,7 +98,7 @@
 fn chosen_endpoint(balancer: &mut Balancer, needs: &Requirements) -> Option<String> {
     match balancer.choose(0, needs) {
         Choice::Chosen(id, _) => Some(id),
-        Choice::Full(_) | Choice::NoEndpoint => None,
+        Choice::Full(..) | Choice::NoEndpoint => None,
     }
 }
 
