--- /dev/null
+++ b/src/policy/place/backlog.rs
@@ -0,0 +1,44 @@
+//! Order in which an instance offers its queued requests to endpoints, and when it passes over the
+//! rest of a group.
+
+use indexmap::IndexMap;
+
+use crate::adapter::clock::Millis;
+
+/// Maximum failed sends per group in one pass over the queue; the rest of the group is skipped.
+const MAX_MISSES: u32 = 4;
+
+/// A queued request, as seen by a pass over the queue.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Queued {
+    /// Priority; 0 is the most urgent.
+    pub priority: u8,
+    /// True if it can't meet its target any more.
+    pub late: bool,
+    /// Time of its arrival.
+    pub arrived: Millis,
+    /// Identifies the request to the caller of [`send_order`].
+    pub index: usize,
+}
+
+/// Sorts queued requests into the order in which they are sent: by priority, then those that can
+/// still meet their target, then by arrival.
+pub fn send_order(queued: &mut [Queued]) {
+    queued.sort();
+}
+
+/// Failed sends of one pass by group: requests with the same service and target gap.
+#[derive(Debug, Default)]
+pub struct Misses(IndexMap<(String, u64), u32>);
+
+impl Misses {
+    /// True if another request of the group may be tried.
+    pub fn allow(&self, service: &str, gap: u64) -> bool {
+        self.0.get(&(service.to_owned(), gap)).is_none_or(|n| *n < MAX_MISSES)
+    }
+
+    /// Counts a failed send.
+    pub fn record(&mut self, service: &str, gap: u64) {
+        *self.0.entry((service.to_owned(), gap)).or_default() += 1;
+    }
+}
--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -6,9 +6,11 @@
 //! requests in the batch; prompt prefixes that many requests share and that are best computed
 //! once; the loss of a quarter of the engines at once.
 
+mod backlog;
 mod endpoint;
 mod speed;
 
+pub use backlog::{Misses, Queued, send_order};
 pub use endpoint::{Endpoint, Listing, Load, Uncached};
 pub use speed::{Samples, Speed};
 
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -5,7 +5,9 @@
 use super::{DRAIN_MAX_MS, DRAIN_MIN_MS, Driver, Pool};
 use crate::adapter::clock::Millis;
 use crate::fleet::replica::Topic;
-use crate::policy::place::{Balancer, Block, Choice, Load, Requirements};
+use crate::policy::place::{
+    Balancer, Block, Choice, Load, Misses, Queued, Requirements, send_order,
+};
 use crate::policy::window::RetryWindow;
 use crate::relay::caller::Request;
 use crate::relay::exchange::Exchange;
@@ -18,8 +20,6 @@
 const RETRY_ELSEWHERE_MS: u64 = 10;
 /// `Retry-After` of other refusals.
 const RETRY_DEFAULT_MS: u64 = 500;
-/// Maximum failed sends per group in one pass over the queue; the rest of the group is skipped.
-const MAX_MISSES: usize = 4;
 
 /// Result of [`Driver::try_send`].
 enum SendOutcome {
@@ -205,8 +205,7 @@
         self.clock.now().saturating_sub(self.shared.replica(Topic::Endpoints).synced_at())
     }
 
-    /// The queued requests in the order in which they are sent: by priority, and those that can still
-    /// meet their target first.
+    /// The queued requests in the order in which they are sent.
     fn queue_order(&self, now: Millis) -> Vec<usize> {
         let is_late = |index: usize| {
             let exchange = self.callers.get(index).and_then(|c| c.exchange.as_ref())?;
@@ -214,16 +213,17 @@
             let needs = Requirements { waited, ..exchange.requirements.clone() };
             Some(self.pools.get(&exchange.service)?.balancer.is_late(&needs))
         };
-        let ordered = self.queue.ordered().into_iter();
-        let mut order: Vec<_> =
-            ordered.map(|(key, i)| (key.0, is_late(i).unwrap_or_default(), i)).collect();
-        order.sort_by_key(|(priority, late, _)| (*priority, *late));
-        order.into_iter().map(|(_, _, index)| index).collect()
+        let queued = self.queue.ordered().into_iter().map(|((priority, arrived, _), index)| {
+            let late = is_late(index).unwrap_or_default();
+            Queued { priority, late, arrived, index }
+        });
+        let mut queued: Vec<Queued> = queued.collect();
+        send_order(&mut queued);
+        queued.into_iter().map(|q| q.index).collect()
     }
 
     /// Tries to send the queued requests in order, at most once per [`DRAIN_MIN_MS`] or, while
-    /// loads don't change, per [`DRAIN_MAX_MS`]. Requests with the same service and target gap form
-    /// a group; after [`MAX_MISSES`] failed sends, the rest of a group is skipped.
+    /// loads don't change, per [`DRAIN_MAX_MS`].
     pub(super) fn drain_queue(&mut self, now: Millis) {
         if self.queue.is_empty() {
             return;
@@ -235,22 +235,14 @@
         }
         self.drained_at = now;
         self.load_changed = false;
-        let mut missed: Vec<(String, u64, usize)> = Vec::new();
+        let mut misses = Misses::default();
         for index in self.queue_order(now) {
             let Some(exchange) = self.callers.get(index).and_then(|c| c.exchange.as_ref()) else {
                 continue;
             };
-            let group = (exchange.service.clone(), exchange.requirements.gap);
-            let entry = missed.iter().position(|(s, g, _)| *s == group.0 && *g == group.1);
-            if entry.is_some_and(|i| missed[i].2 >= MAX_MISSES) {
-                continue;
-            }
-            if matches!(self.try_send(index), SendOutcome::Sent) {
-                continue;
-            }
-            match entry {
-                Some(i) => missed[i].2 += 1,
-                None => missed.push((group.0, group.1, 1)),
+            let (service, gap) = (exchange.service.clone(), exchange.requirements.gap);
+            if misses.allow(&service, gap) && !matches!(self.try_send(index), SendOutcome::Sent) {
+                misses.record(&service, gap);
             }
         }
         self.metrics.waiting.set(self.queue.len() as i64);
