Send queued requests in order of stretch, not of arrival

Cause: of one priority, requests that could still meet their target went first, in order of arrival. Under a burst that lasts, the head of the queue is then always the oldest that is still in time, everything is sent when its target is nearly missed, and a request that takes long itself misses it first. Once late it goes behind all that arrive after it, until it is refused. Change: those that can still meet their target go in order of stretch, the time waited as a multiple of the time that the request takes itself on an idle engine. The newest go first, long ones may wait longer for their turn, and what is late is late at all sizes alike. Class: work that can lose its rank but never regain it.

--- a/src/policy/place/backlog.rs
+++ b/src/policy/place/backlog.rs
@@ -15,6 +15,8 @@
     pub priority: u8,
     /// True if it can't meet its target any more.
     pub late: bool,
+    /// See [`super::Balancer::stretch`].
+    pub stretch: u64,
     /// Time of its arrival.
     pub arrived: Millis,
     /// Identifies the request to the caller of [`send_order`].
@@ -22,7 +24,10 @@
 }
 
 /// Sorts queued requests into the order in which they are sent: by priority, then those that can
-/// still meet their target, then by arrival.
+/// still meet their target, then those that have waited least for what they need.
+///
+/// In order of arrival, all would be sent when their target is nearly missed, and those that take
+/// long themselves would be the first to miss it.
 pub fn send_order(queued: &mut [Queued]) {
     queued.sort();
 }
--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -291,9 +291,23 @@
     /// True if a request can't have its first event within its target any more, even on an idle engine
     /// that has its shared segments cached.
     pub fn is_late(&self, needs: &Requirements) -> bool {
+        self.profile.batch > 0 && needs.waited as f64 + self.least_first(needs) > needs.target()
+    }
+
+    /// Time for which a request has waited, as a multiple of the time that it takes itself, in
+    /// thousandths; 0 for a plain service.
+    pub fn stretch(&self, needs: &Requirements) -> u64 {
+        if self.profile.batch == 0 {
+            return 0;
+        }
+        (1_000.0 * needs.waited as f64 / self.least_first(needs).max(1.0)) as u64
+    }
+
+    /// Predicted time until the first event on an idle engine that has the shared segments cached, in
+    /// milliseconds.
+    fn least_first(&self, needs: &Requirements) -> f64 {
         let shared: u32 = needs.shared().iter().map(|(_, tokens)| *tokens).sum();
-        let least = self.speed.predict(needs.prompt.saturating_sub(shared));
-        self.profile.batch > 0 && needs.waited as f64 + least > needs.target()
+        self.speed.predict(needs.prompt.saturating_sub(shared))
     }
 
     /// Sets the number of requests with a tight gap that wait in the whole fleet.
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::relay::caller::Request;
 use crate::relay::exchange::Exchange;
 use crate::relay::link::CallerRef;
+use crate::relay::queue::QueueKey;
 use crate::relay::stats::RouteLabels;
 use crate::relay::table::{Route, RoutingTable, Workspace};
 use crate::relay::timers::Owner;
@@ -207,21 +208,24 @@
 
     /// The queued requests in the order in which they are sent.
     fn queue_order(&self, now: Millis) -> Vec<usize> {
-        let is_late = |index: usize| {
-            let exchange = self.callers.get(index).and_then(|c| c.exchange.as_ref())?;
-            let waited = now.saturating_sub(exchange.arrived);
-            let needs = Requirements { waited, ..exchange.requirements.clone() };
-            Some(self.pools.get(&exchange.service)?.balancer.is_late(&needs))
-        };
-        let queued = self.queue.ordered().into_iter().map(|((priority, arrived, _), index)| {
-            let late = is_late(index).unwrap_or_default();
-            Queued { priority, late, arrived, index }
-        });
-        let mut queued: Vec<Queued> = queued.collect();
+        let ordered = self.queue.ordered().into_iter();
+        let mut queued: Vec<Queued> =
+            ordered.filter_map(|(key, index)| self.queued(now, key, index)).collect();
         send_order(&mut queued);
         queued.into_iter().map(|q| q.index).collect()
     }
 
+    fn queued(&self, now: Millis, key: QueueKey, index: usize) -> Option<Queued> {
+        let (priority, arrived, _) = key;
+        let exchange = self.callers.get(index).and_then(|c| c.exchange.as_ref())?;
+        let waited = now.saturating_sub(exchange.arrived);
+        let needs = Requirements { waited, ..exchange.requirements.clone() };
+        let pool = self.pools.get(&exchange.service);
+        let late = pool.is_some_and(|p| p.balancer.is_late(&needs));
+        let stretch = pool.map_or(0, |p| p.balancer.stretch(&needs));
+        Some(Queued { priority, late, stretch, arrived, index })
+    }
+
     /// Tries to send the queued requests in order, at most once per [`DRAIN_MIN_MS`] or, while
     /// loads don't change, per [`DRAIN_MAX_MS`].
     pub(super) fn drain_queue(&mut self, now: Millis) {
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -169,7 +169,8 @@
             let request = &mut requests[index];
             request.needs.waited = now - request.at;
             let late = instance.balancer.is_late(&request.needs);
-            queued.push(Queued { priority: 2, late, arrived: request.at, index });
+            let stretch = instance.balancer.stretch(&request.needs);
+            queued.push(Queued { priority: 2, late, stretch, arrived: request.at, index });
         }
         send_order(&mut queued);
         let mut misses = Misses::default();
