Break off a stream that has begun, rather than write an error into it

What callers would see: a whole response head with 502 in the middle of their stream. A resumable stream breaks off, and its content has been quarantined since it began: the retry found the quarantine and answered with an error, without looking at whether part of the response had been sent. Cause: each place that ends a request had to ask for itself; that one didn't. Now refusing and failing do.

--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -202,7 +202,7 @@
     }
 
     /// True if part of a stream has been sent to the caller.
-    fn stream_started(&self, caller: usize) -> bool {
+    pub(super) fn stream_started(&self, caller: usize) -> bool {
         let exchange = self.callers.get(caller).and_then(|c| c.exchange.as_ref());
         exchange.is_some_and(|e| e.streaming)
     }
--- a/src/relay/driver/outcome.rs
+++ b/src/relay/driver/outcome.rs
@@ -241,8 +241,11 @@
     }
 
     /// Answers that the request has not run. `Retry-After` is a random fraction of the route's
-    /// target.
+    /// target. A stream that has begun is broken off instead.
     pub(super) fn refuse(&mut self, caller: usize, reason: RefuseReason) {
+        if self.stream_started(caller) {
+            return self.abort_response(caller, reason.message());
+        }
         let Some(exchange) = self.callers.get(caller).and_then(|c| c.exchange.as_ref()) else {
             return;
         };
@@ -253,8 +256,11 @@
         self.respond(caller, reason.status(), Some(retry), reason.message());
     }
 
-    /// Answers with an error; the request may have run.
+    /// Answers with an error; the request may have run. A stream that has begun is broken off instead.
     pub(super) fn fail(&mut self, caller: usize, status: u16, why: &'static str) {
+        if self.stream_started(caller) {
+            return self.abort_response(caller, why);
+        }
         self.record_outcome(caller, why);
         self.respond(caller, status, None, why);
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,8 @@
 //! proxies sit on the connections to the log, to the endpoints and between peers.
 #![allow(dead_code, unreachable_pub, clippy::unwrap_used, clippy::expect_used)]
 
+mod cases;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
@@ -29,20 +31,6 @@
 /// Timeout of a wait for a condition.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Table-driven tests: `cases! { run: name => input; ... }` makes one test function for each row,
-/// which calls `run` with a reference to the input.
-#[macro_export]
-macro_rules! cases {
-    ($run:ident: $($name:ident => $input:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $run(&$input);
-            }
-        )+
-    };
-}
-
 /// Ports handed out by [`free_addr`]: below the range that the system uses for outgoing
 /// connections.
 const PORTS: std::ops::Range<u32> = 11_000..31_000;
