Take a text that is no stream of events for a failed attempt when a stream goes on

Cause: a 200 to a stream request counted as events whatever its type, and text up to a blank line passed as an event without an id.

--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -11,10 +11,12 @@
 use crate::relay::sse::Events;
 use crate::relay::stats::RouteLabels;
 use crate::relay::table::RouteKind;
-use crate::relay::wire::{self, Decoder, Step};
+use crate::relay::wire::{self, Decoder, Head, Step};
 
 /// Maximum size of a response's head, in bytes.
 const HEAD_LIMIT: usize = 64 << 10;
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
 /// Maximum size of a body that is not a stream, in bytes.
 const BODY_LIMIT: usize = 16 << 20;
 
@@ -92,7 +94,7 @@
     /// True if the response is a stream of events, which is forwarded as it arrives.
     fn is_event_stream(&self, index: usize) -> bool {
         let link = &self.links[index];
-        let ok = link.head.as_ref().is_some_and(|h| h.status == 200);
+        let ok = link.head.as_ref().is_some_and(|h| h.status == 200 && has_events(h));
         let caller = link.caller.and_then(|u| self.callers.get(u.index));
         let kind = caller.and_then(|c| c.exchange.as_ref()).map(|e| e.kind());
         ok && kind.is_some_and(RouteKind::is_stream)
@@ -289,6 +291,12 @@
     }
 }
 
+/// True unless the response states that its body is something else than events.
+fn has_events(head: &Head) -> bool {
+    head.get("content-type")
+        .is_none_or(|t| t.split(';').next().unwrap_or(t).trim().eq_ignore_ascii_case(EVENT_STREAM))
+}
+
 /// Parses the numbers of running and waiting requests, separated by a comma.
 fn parse_load(value: &str) -> Option<(u32, u32)> {
     let mut numbers = value.split(',').map(|n| n.trim().parse().ok());
