Tell a repeated refusal from one of the request on a kept connection

What callers would see: an endpoint writes an earlier refusal once more on a kept connection. Cause: a refusal was believed whenever its id didn't contradict it. Now one without an id counts on a fresh connection only; on one that was used before, the request may have run. And an attempt isn't sent again over a connection over which it was refused. Refusals with the id of another request were skipped before, and are.

--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -191,8 +191,7 @@
             return self.stream_complete(index, caller.index);
         }
         if not_run {
-            let cause = if status == 421 { Cause::Stale } else { Cause::Full };
-            return self.attempt_failed(caller.index, FailureKind::NotRun, cause);
+            return self.response_refuses(index, caller.index, status);
         }
         if status >= 500 {
             return self.attempt_failed(caller.index, FailureKind::Failed, Cause::Error);
@@ -203,6 +202,20 @@
         self.forward_response(index, caller.index, "answered");
     }
 
+    /// Handles a refusal. Without an id, one on a connection that was used before may be the copy of an
+    /// earlier one: then the request may run.
+    fn response_refuses(&mut self, index: usize, caller: usize, status: u16) {
+        let link = &mut self.links[index];
+        let attempt = link.head.as_ref().and_then(|h| h.get(self.setup.names.attempt));
+        if attempt.is_none() && link.served > 0 {
+            return self.attempt_failed(caller, FailureKind::Lost, Cause::InvalidResponse);
+        }
+        let exchange = self.callers.get(caller).and_then(|c| c.exchange.as_ref());
+        link.refused.extend(exchange.map(|e| e.id.clone()));
+        let cause = if status == 421 { Cause::Stale } else { Cause::Full };
+        self.attempt_failed(caller, FailureKind::NotRun, cause);
+    }
+
     /// True if part of a stream has been sent to the caller.
     pub(super) fn stream_started(&self, caller: usize) -> bool {
         let exchange = self.callers.get(caller).and_then(|c| c.exchange.as_ref());
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -308,8 +308,8 @@
     /// An idle connection to an endpoint, or a new one.
     fn acquire_link(&mut self, index: usize, service: &str, endpoint: &str) -> Option<usize> {
         let exchange = self.callers[index].exchange.as_ref()?;
-        let at_most_once = !exchange.kind().is_retryable();
-        if let Some(link) = self.take_idle_link(endpoint, at_most_once) {
+        let (attempt, at_most_once) = (exchange.id.clone(), !exchange.kind().is_retryable());
+        if let Some(link) = self.take_idle_link(endpoint, &attempt, at_most_once) {
             return Some(link);
         }
         if !self.can_connect(endpoint, service) {
--- a/src/relay/driver/links.rs
+++ b/src/relay/driver/links.rs
@@ -17,15 +17,22 @@
 
 impl Driver {
     /// Takes the most recently used idle connection to an endpoint, unless it has been idle for too
-    /// long. `at_most_once` is true for a request that must not run twice; its limit is shorter.
-    pub(super) fn take_idle_link(&mut self, endpoint: &str, at_most_once: bool) -> Option<usize> {
+    /// long or the endpoint has refused the `attempt` over it: a copy of that refusal could not be told
+    /// from a new one. `at_most_once` is true for a request that must not run twice; its limit is
+    /// shorter.
+    pub(super) fn take_idle_link(
+        &mut self,
+        endpoint: &str,
+        attempt: &str,
+        at_most_once: bool,
+    ) -> Option<usize> {
         let now = self.clock.now();
         let list = self.idle_links.get_mut(endpoint)?;
         let index = *list.last()?;
         let link = &self.links[index];
         let timeout =
             if at_most_once { link.idle_timeout.min(IDLE_TIMEOUT_ONCE) } else { link.idle_timeout };
-        if link.idle_since + timeout <= now {
+        if link.idle_since + timeout <= now || link.refused.contains(attempt) {
             return None;
         }
         list.pop();
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -1,5 +1,6 @@
 //! A connection to an endpoint, which carries one request at a time.
 
+use indexmap::IndexSet;
 use mio::net::TcpStream;
 
 use super::wire::{Decoder, Head};
@@ -56,6 +57,8 @@
     pub(super) foreign: bool,
     /// Number of requests completed.
     pub(super) served: u32,
+    /// Ids of the attempts that the endpoint refused over it.
+    pub(super) refused: IndexSet<String>,
     /// Time at which it last became idle.
     pub(super) idle_since: Millis,
     /// Time for which it may stay idle, in milliseconds.
@@ -87,6 +90,7 @@
             body: Vec::new(),
             foreign: false,
             served: 0,
+            refused: IndexSet::new(),
             idle_since: now,
             idle_timeout: IDLE_TIMEOUT,
         }
