Honour what responses say of their endpoints: leaving, and pauses

Change: the head of every response, late copies too, is looked at when it is read. An endpoint that asks for a pause gets no requests until the end, at most 120 s; malformed and negative values are ignored with a log line; a pause doesn't eject. Requests go elsewhere, or wait.

--- a/src/mechanism.rs
+++ b/src/mechanism.rs
@@ -31,6 +31,8 @@
     Over,
     /// Reports from endpoints and peers that an endpoint is leaving are honoured.
     Leavers,
+    /// Endpoints that ask for a pause get no requests until its end.
+    Pauses,
     /// A shutdown waits for requests in flight.
     Drain,
     /// A publication is accepted only if it was edited from the version in force.
--- a/src/policy/place/endpoint.rs
+++ b/src/policy/place/endpoint.rs
@@ -6,6 +6,7 @@
 
 use super::Requirements;
 use crate::adapter::clock::Millis;
+use crate::mechanism::{self, Mechanism};
 
 /// Maximum shared prompt segments tracked per endpoint.
 const MAX_CACHED_SEGMENTS: usize = 256;
@@ -19,6 +20,10 @@
 const MIN_EJECT_MS: u64 = 500;
 /// Maximum duration of an ejection.
 const MAX_EJECT_MS: u64 = 4_000;
+/// Time for which an endpoint that says it is leaving is still used where no other is left.
+const LEAVING_USE_MS: u64 = 1_000;
+/// Maximum pause that an endpoint may ask for.
+const MAX_PAUSE_MS: u64 = 120_000;
 
 /// Work placed on an endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -112,6 +117,10 @@
     reported: u32,
     /// True when another incarnation has answered at its address.
     stale: bool,
+    /// Time of its first response that said it is leaving.
+    leaving_since: Option<Millis>,
+    /// Time until which it wants no requests.
+    paused_until: Millis,
     /// Moving average of failures, 0 to 1.
     failure_rate: f64,
     /// Ejections since the last success.
@@ -151,7 +160,37 @@
 
     /// True unless it is leaving or stale.
     pub fn accepts_work(&self) -> bool {
-        !self.listing.leaving && !self.stale
+        !self.listing.leaving && !self.stale && !self.says_leaving()
+    }
+
+    fn says_leaving(&self) -> bool {
+        self.leaving_since.is_some() && mechanism::on(Mechanism::Leavers)
+    }
+
+    /// True if it says that it is leaving, and may be used a little longer where no other is left.
+    pub fn may_be_last(&self, now: Millis) -> bool {
+        let recent = self.leaving_since.is_some_and(|at| now < at + LEAVING_USE_MS);
+        recent && !self.listing.leaving && !self.stale
+    }
+
+    /// Records that a response of this incarnation says that it is leaving. Returns true for the
+    /// first one.
+    pub fn mark_leaving(&mut self, now: Millis) -> bool {
+        let first = self.leaving_since.is_none();
+        self.leaving_since.get_or_insert(now);
+        first
+    }
+
+    /// True while it wants no requests.
+    pub fn is_paused(&self, now: Millis) -> bool {
+        now < self.paused_until && mechanism::on(Mechanism::Pauses)
+    }
+
+    /// Sends it no requests for `ms` milliseconds, at most [`MAX_PAUSE_MS`]. Returns the end of the
+    /// pause.
+    pub fn pause(&mut self, now: Millis, ms: u64) -> Millis {
+        self.paused_until = self.paused_until.max(now + ms.min(MAX_PAUSE_MS));
+        self.paused_until
     }
 
     /// True unless it is ejected.
--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -429,13 +429,19 @@
     }
 
     /// Indices of the endpoints that may serve the request, in order: the healthy ones, or all that
-    /// accept work if fewer than a third of them are healthy.
+    /// accept work if fewer than a third of them are healthy. None of them has asked for a pause.
     fn usable(&self, now: Millis, needs: &Requirements) -> Vec<usize> {
-        let eligible = |i: &usize| {
-            let e = &self.endpoints[*i];
-            e.accepts_work() && !needs.avoid.contains(&e.listing.id)
+        let eligible = |accepts: &dyn Fn(&Endpoint) -> bool| -> Vec<usize> {
+            let fits = |i: &usize| {
+                let e = &self.endpoints[*i];
+                accepts(e) && !e.is_paused(now) && !needs.avoid.contains(&e.listing.id)
+            };
+            self.order.iter().copied().filter(fits).collect()
         };
-        let open: Vec<usize> = self.order.iter().copied().filter(eligible).collect();
+        let mut open = eligible(&Endpoint::accepts_work);
+        if !self.endpoints.values().any(Endpoint::accepts_work) {
+            open = eligible(&|e| e.may_be_last(now));
+        }
         let healthy = |i: &usize| self.endpoints[*i].is_healthy(now);
         let healthy: Vec<usize> = open.iter().copied().filter(healthy).collect();
         if healthy.len() * 3 >= open.len() { healthy } else { open }
--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -38,7 +38,9 @@
         loop {
             let Some(link) = self.links.get_mut(index) else { return };
             let step = if link.head.is_none() {
-                parse_head(link, &self.setup.names, &self.callers)
+                let step = parse_head(link, &self.setup.names, &self.callers);
+                self.apply_notices(index);
+                step
             } else {
                 self.parse_body(index)
             };
@@ -52,6 +54,39 @@
         }
     }
 
+    /// Applies what the head of a response says of its endpoint: that it is leaving, or wants no
+    /// requests for a while.
+    fn apply_notices(&mut self, index: usize) {
+        let now = self.clock.now();
+        let Some(link) = self.links.get(index) else { return };
+        let Some(head) = &link.head else { return };
+        let leaving = head.get(self.setup.names.leaving) == Some("1");
+        let asks = head.status == 503 && !link.foreign;
+        let pause = head.get("retry-after").filter(|_| asks).map(str::to_owned);
+        if !leaving && pause.is_none() {
+            return;
+        }
+        let (service, endpoint) = (link.service.clone(), link.endpoint.clone());
+        let Some(e) = self.pool(&service).balancer.get_mut(&endpoint) else { return };
+        let is_news = leaving && e.mark_leaving(now);
+        match pause.as_deref().map(|text| (text, parse_pause(text))) {
+            Some((_, Some(ms))) => {
+                let until = e.pause(now, ms);
+                tracing::info!(endpoint, ms, now, until, "relay: endpoint paused");
+                self.metrics.pauses.inc();
+            }
+            Some((text, None)) => {
+                tracing::info!(endpoint, text, "relay: pause of an endpoint is malformed");
+            }
+            None => {}
+        }
+        if is_news {
+            tracing::info!(service, endpoint, "relay: endpoint says that it is leaving");
+            self.metrics.leaving.inc();
+            self.drop_idle_links(&endpoint);
+        }
+    }
+
     /// Parses the next part of a body: events of a stream are forwarded, other bodies buffered.
     fn parse_body(&mut self, index: usize) -> ParseStep {
         let link = &mut self.links[index];
@@ -310,6 +345,13 @@
         .is_none_or(|t| t.split(';').next().unwrap_or(t).trim().eq_ignore_ascii_case(EVENT_STREAM))
 }
 
+/// Parses a pause in seconds, which may have a fraction. Returns milliseconds; `None` if it is not a
+/// number or negative.
+fn parse_pause(text: &str) -> Option<u64> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    (seconds >= 0.0).then(|| (seconds * 1_000.0).ceil() as u64)
+}
+
 /// Parses the numbers of running and waiting requests, separated by a comma.
 fn parse_load(value: &str) -> Option<(u32, u32)> {
     let mut numbers = value.split(',').map(|n| n.trim().parse().ok());
--- a/src/relay/driver/links.rs
+++ b/src/relay/driver/links.rs
@@ -236,6 +236,13 @@
         }
     }
 
+    /// Closes idle connections to an endpoint.
+    pub(super) fn drop_idle_links(&mut self, endpoint: &str) {
+        for index in self.idle_links.get(endpoint).cloned().unwrap_or_default() {
+            self.drop_link(index);
+        }
+    }
+
     /// Closes idle connections to endpoints that are no longer listed.
     pub(super) fn drop_unlisted_links(&mut self) {
         let listed = |id: &str| self.pools.values().any(|p| p.balancer.get(id).is_some());
--- a/src/relay/driver/outcome.rs
+++ b/src/relay/driver/outcome.rs
@@ -157,6 +157,7 @@
         }
         let Some(e) = self.pool(service).balancer.get_mut(endpoint) else { return };
         let excluded = match cause {
+            Cause::Error if e.is_paused(now) => false,
             Cause::Stale => {
                 e.mark_stale();
                 true
--- a/src/relay/names.rs
+++ b/src/relay/names.rs
@@ -19,6 +19,8 @@
     pub not_run: &'static str,
     /// Load of the endpoint: running and waiting requests, and slots.
     pub load: &'static str,
+    /// Present with the value 1 on a response of an endpoint that is leaving.
+    pub leaving: &'static str,
     /// Priority at the endpoint; 0 is the most urgent.
     pub priority: &'static str,
     /// Segments of the prompt in order, each as ID:TOKENS.
--- a/src/relay/stats.rs
+++ b/src/relay/stats.rs
@@ -66,6 +66,10 @@
     pub prompts: Family<RequestLabels, Histogram, fn() -> Histogram>,
     /// Number of connections opened to endpoints.
     pub connects: Counter,
+    /// Number of pauses that endpoints have asked for.
+    pub pauses: Counter,
+    /// Number of endpoints that have said in a response that they are leaving.
+    pub leaving: Counter,
     /// Version of the configuration in force.
     pub config_version: Gauge,
     /// Number of requests in the queue.
@@ -98,6 +102,8 @@
             queue_wait: Family::new_with_constructor(latency as fn() -> Histogram),
             prompts: Family::new_with_constructor(prompt_size as fn() -> Histogram),
             connects: Counter::default(),
+            pauses: Counter::default(),
+            leaving: Counter::default(),
             config_version: Gauge::default(),
             waiting: Gauge::default(),
             peers: Gauge::default(),
@@ -124,6 +130,12 @@
         r.register("waited_seconds", "time spent waiting for room", self.queue_wait.clone());
         r.register("prompt_tokens", "prompt tokens by route and outcome", self.prompts.clone());
         r.register("connects", "connections opened to endpoints", self.connects.clone());
+        r.register("endpoint_pauses", "pauses asked for by endpoints", self.pauses.clone());
+        r.register(
+            "endpoints_leaving",
+            "endpoints that said in a response that they are leaving",
+            self.leaving.clone(),
+        );
         r.register(
             "config_version",
             "version of the configuration in force",
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -494,6 +494,33 @@
     assert!(chosen_endpoint(&mut balancer, &title(0)).is_some());
 }
 
+#[test]
+fn endpoints_that_say_they_are_leaving_are_used_briefly_where_no_other_is_left() {
+    let mut balancer = balancer(2);
+    let chosen = |b: &mut Balancer, now| match b.choose(now, &title(1)) {
+        Choice::Chosen(id, _) => Some(id),
+        Choice::Full(..) | Choice::NoEndpoint => None,
+    };
+    balancer.get_mut("engine-0").unwrap().mark_leaving(5_000);
+    assert_eq!(chosen(&mut balancer, 5_000).as_deref(), Some("engine-1"));
+    balancer.get_mut("engine-1").unwrap().mark_leaving(5_500);
+    assert!(chosen(&mut balancer, 5_900).is_some());
+    assert_eq!(chosen(&mut balancer, 6_100).as_deref(), Some("engine-1"));
+    assert_eq!(chosen(&mut balancer, 6_600), None);
+    let next = Listing { started_at: 2, ..listing(0) };
+    balancer.sync(&[next, listing(1)]);
+    assert_eq!(chosen(&mut balancer, 6_600).as_deref(), Some("engine-0"));
+}
+
+#[test]
+fn paused_endpoints_get_nothing_until_the_longest_pause_ends() {
+    let mut balancer = balancer(1);
+    balancer.get_mut("engine-0").unwrap().pause(1_000, 3_000);
+    balancer.get_mut("engine-0").unwrap().pause(1_500, 500);
+    assert_eq!(balancer.choose(3_999, &title(1)), Choice::NoEndpoint);
+    assert!(matches!(balancer.choose(4_000, &title(1)), Choice::Chosen(..)));
+}
+
 #[test]
 fn failing_endpoints_are_avoided_unless_most_are_failing() {
     let mut balancer = balancer(3);
