Send late requests in order of arrival, as before

With the order by stretch, what is late went newest first too, and so did streams that broke off and go on elsewhere, which have waited longest. The stretch now counts among those that can still meet their target only. Found when reading the diff; no test of its own.

--- a/src/policy/place/backlog.rs
+++ b/src/policy/place/backlog.rs
@@ -24,7 +24,7 @@
 }
 
 /// Sorts queued requests into the order in which they are sent: by priority, then those that can
-/// still meet their target, then those that have waited least for what they need.
+/// still meet their target, the least stretched first, then the others by arrival.
 ///
 /// In order of arrival, all would be sent when their target is nearly missed, and those that take
 /// long themselves would be the first to miss it.
--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -295,9 +295,9 @@
     }
 
     /// Time for which a request has waited, as a multiple of the time that it takes itself, in
-    /// thousandths; 0 for a plain service.
+    /// thousandths; 0 for one that is late and for a plain service, where only the arrival counts.
     pub fn stretch(&self, needs: &Requirements) -> u64 {
-        if self.profile.batch == 0 {
+        if self.profile.batch == 0 || self.is_late(needs) {
             return 0;
         }
         (1_000.0 * needs.waited as f64 / self.least_first(needs).max(1.0)) as u64
