--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -57,36 +57,43 @@
     /// Applies what the head of a response says of its endpoint: that it is leaving, or wants no
     /// requests for a while.
     fn apply_notices(&mut self, index: usize) {
-        let now = self.clock.now();
         let Some(link) = self.links.get(index) else { return };
         let Some(head) = &link.head else { return };
         let leaving = head.get(self.setup.names.leaving) == Some("1");
         let asks = head.status == 503 && !link.foreign;
         let pause = head.get("retry-after").filter(|_| asks).map(str::to_owned);
-        if !leaving && pause.is_none() {
-            return;
-        }
         let (service, endpoint) = (link.service.clone(), link.endpoint.clone());
-        let Some(e) = self.pool(&service).balancer.get_mut(&endpoint) else { return };
-        let is_news = leaving && e.mark_leaving(now);
-        match pause.as_deref().map(|text| (text, parse_pause(text))) {
-            Some((_, Some(ms))) => {
-                let until = e.pause(now, ms);
-                tracing::info!(endpoint, ms, now, until, "relay: endpoint paused");
-                self.metrics.pauses.inc();
-            }
-            Some((text, None)) => {
-                tracing::info!(endpoint, text, "relay: pause of an endpoint is malformed");
-            }
-            None => {}
+        if leaving {
+            self.mark_leaving(&service, &endpoint);
         }
-        if is_news {
-            tracing::info!(service, endpoint, "relay: endpoint says that it is leaving");
-            self.metrics.leaving.inc();
-            self.drop_idle_links(&endpoint);
+        if let Some(text) = pause {
+            self.pause_endpoint(&service, &endpoint, &text);
         }
     }
 
+    fn mark_leaving(&mut self, service: &str, endpoint: &str) {
+        let now = self.clock.now();
+        let found = self.pool(service).balancer.get_mut(endpoint);
+        if !found.is_some_and(|e| e.mark_leaving(now)) {
+            return;
+        }
+        tracing::info!(service, endpoint, "relay: endpoint says that it is leaving");
+        self.metrics.leaving.inc();
+        self.drop_idle_links(endpoint);
+    }
+
+    fn pause_endpoint(&mut self, service: &str, endpoint: &str, text: &str) {
+        let now = self.clock.now();
+        let Some(ms) = parse_pause(text) else {
+            tracing::info!(endpoint, text, "relay: pause of an endpoint is malformed");
+            return;
+        };
+        let Some(e) = self.pool(service).balancer.get_mut(endpoint) else { return };
+        let until = e.pause(now, ms);
+        tracing::info!(service, endpoint, ms, now, until, "relay: endpoint paused");
+        self.metrics.pauses.inc();
+    }
+
     /// Parses the next part of a body: events of a stream are forwarded, other bodies buffered.
     fn parse_body(&mut self, index: usize) -> ParseStep {
         let link = &mut self.links[index];
