--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -28,6 +28,8 @@
 pub const TOKEN: &str = "recife-secret";
 /// Failure domains, given to instances and endpoints in turn.
 pub const DOMAINS: [&str; 3] = ["recife", "caruaru", "joao-pessoa"];
+/// Log lines of each instance that a failed test prints.
+const LOG_TAIL: usize = 200;
 /// Timeout of a wait for a condition.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -420,7 +422,7 @@
         if std::thread::panicking() {
             for entry in &self.entries {
                 let output = entry.output();
-                let tail: Vec<&str> = output.lines().rev().take(15).collect();
+                let tail: Vec<&str> = output.lines().rev().take(LOG_TAIL).collect();
                 eprintln!("--- {}", entry.name);
                 tail.iter().rev().for_each(|l| eprintln!("{l}"));
             }
