--- /dev/null
+++ b/review/standin/ghost.rs
@@ -0,0 +1,152 @@
+//! Case 4: one machine is partitioned from the store for a moment, while a server leaves.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use crate::client::{self, Client, Outcome};
+use crate::relay::Relay;
+use crate::server::{self, Server};
+use crate::store::Store;
+use crate::{Verdict, record};
+
+/// Bounds of the deployment.
+const CONTACT_MS: u64 = 3_000;
+const DRAIN_MS: u64 = 2_000;
+/// Duration of the cut.
+const CUT: Duration = Duration::from_millis(1_800);
+/// Time from the start of the cut to the removal of the leaving server's entry.
+const LEAVES_AFTER: Duration = Duration::from_millis(600);
+/// Time for which the leaving server goes on serving after the removal.
+const SERVES_ON_MS: u64 = 12_000;
+
+/// Link between one machine and the store. While it is cut, it holds the bytes of both directions.
+#[derive(Clone)]
+struct Link {
+    addr: SocketAddr,
+    cut: Arc<AtomicBool>,
+}
+
+impl Link {
+    fn start(store: SocketAddr) -> Result<Self, String> {
+        let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+        let addr = listener.local_addr().map_err(|e| e.to_string())?;
+        let link = Self { addr, cut: Arc::default() };
+        let serving = link.clone();
+        thread::spawn(move || {
+            for sock in listener.incoming().flatten() {
+                serving.wait();
+                let Ok(other) = TcpStream::connect(store) else { continue };
+                let (Ok(a), Ok(b)) = (sock.try_clone(), other.try_clone()) else { continue };
+                let (there, back) = (serving.clone(), serving.clone());
+                thread::spawn(move || there.copy(sock, other));
+                thread::spawn(move || back.copy(b, a));
+            }
+        });
+        Ok(link)
+    }
+
+    fn wait(&self) {
+        while self.cut.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    fn copy(&self, mut from: TcpStream, mut to: TcpStream) {
+        let mut buffer = [0; 64 << 10];
+        let _ = to.set_nodelay(true);
+        while let Ok(n) = from.read(&mut buffer) {
+            self.wait();
+            if n == 0 || to.write_all(&buffer[..n]).is_err() {
+                break;
+            }
+        }
+        let _ = to.shutdown(std::net::Shutdown::Both);
+    }
+}
+
+pub fn run(trouble: bool) -> Result<Verdict, String> {
+    let store = Store::start()?;
+    store.configure(&client::config());
+    let work = server::answer_after(Duration::from_millis(60));
+    let mut servers = Vec::new();
+    for id in ["i-7f3a91c0", "i-7f3a91c1", "i-7f3a91c2"] {
+        servers.push(Server::start(&store, id, "balcao", 6, Arc::clone(&work))?);
+    }
+    for server in &servers {
+        server.beat(&store);
+        // Servers start at different times.
+        thread::sleep(Duration::from_millis(400));
+    }
+    let link = Link::start(store.addr)?;
+    let machine = Relay::start("edge-recife-1", link.addr)?;
+    Relay::start("edge-caruaru-1", store.addr)?;
+    thread::sleep(Duration::from_secs(3));
+
+    let leaving = servers[0].clone();
+    // The cut begins just before the server writes its entry for the last time.
+    wait_for_beat(&store, &leaving);
+    if trouble {
+        link.cut.store(true, Ordering::SeqCst);
+        record::line("disruption: edge-recife-1 is partitioned from the store");
+    }
+    leaving.stop_beats();
+    leaving.register(&store);
+    thread::sleep(LEAVES_AFTER);
+    store.put("keyed.servers", &leaving.id, None);
+    let removed_at = record::now();
+    record::line(&format!("store: entry of {} removed and acknowledged", leaving.id));
+    thread::sleep(CUT - LEAVES_AFTER);
+    link.cut.store(false, Ordering::SeqCst);
+    let healed_at = record::now();
+    record::line("the partition has healed");
+
+    let sent: Arc<Mutex<Vec<(String, u64, Outcome)>>> = Arc::default();
+    let clients = (0..12).map(|_| {
+        let (machine, sent) = (machine.clone(), Arc::clone(&sent));
+        thread::spawn(move || orders(&machine, removed_at + SERVES_ON_MS, &sent))
+    });
+    let clients: Vec<_> = clients.collect();
+    clients.into_iter().for_each(|t| _ = t.join());
+    record::line(&format!("server {}: exits", leaving.id));
+    for line in machine.log_with(&leaving.id) {
+        if line.contains("endpoint added") || line.contains("endpoint removed") {
+            record::line(&format!("log of edge-recife-1: {}", line.trim()));
+        }
+    }
+    let from = (removed_at + DRAIN_MS).max(healed_at + CONTACT_MS);
+    let arrivals = leaving.arrivals();
+    let sent = sent.lock().unwrap();
+    let late = sent.iter().filter(|(id, at, _)| *at > from && arrivals.contains_key(id)).count();
+    let all = sent.iter().filter(|(_, at, _)| *at > from).count();
+    record::line(&format!(
+        "{late} of {all} requests, sent over {DRAIN_MS} ms after the acknowledgement and over {CONTACT_MS} ms after the partition, ran at {}",
+        leaving.id
+    ));
+    Ok(if late > 0 { Verdict::Broken } else { Verdict::Held })
+}
+
+/// Waits until the server has just written its entry.
+fn wait_for_beat(store: &Store, server: &Server) {
+    let before = store.offset("keyed.servers", &server.id);
+    while store.offset("keyed.servers", &server.id) == before {
+        thread::sleep(Duration::from_millis(1));
+    }
+    thread::sleep(server::HEARTBEAT - Duration::from_millis(50));
+}
+
+/// Sends look-ups over one connection until `until`.
+fn orders(machine: &Relay, until: u64, sent: &Mutex<Vec<(String, u64, Outcome)>>) {
+    let Some(mut client) = Client::open(machine.front) else { return };
+    while record::now() < until {
+        let (id, at) = (client::attempt(), record::now());
+        let outcome = client.ask("GET", "/stock/2f", &id, 1_000, "");
+        sent.lock().unwrap().push((id, at, outcome));
+        if outcome == Outcome::Cut {
+            return;
+        }
+    }
+}
