--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -33,13 +33,15 @@
     buffer: Vec<u8>,
     /// Requests sent over it.
     pub sent: u32,
+    /// The last answer.
+    last: Message,
 }
 
 impl Client {
     pub fn open(addr: SocketAddr) -> Option<Self> {
         let sock = TcpStream::connect_timeout(&addr, Duration::from_secs(1)).ok()?;
         sock.set_nodelay(true).ok()?;
-        Some(Self { sock, buffer: Vec::new(), sent: 0 })
+        Some(Self { sock, buffer: Vec::new(), sent: 0, last: Message::default() })
     }
 
     /// Sends a request and reads the answer; `deadline` is the time that the client waits, in ms.
@@ -54,7 +56,11 @@
                 Some(Message { complete: false, .. }) | None if sent_at.elapsed() >= wait => {
                     Outcome::Silent
                 }
-                Some(m) if m.complete => Outcome::Answered(m.status()),
+                Some(m) if m.complete => {
+                    let status = m.status();
+                    self.last = m;
+                    Outcome::Answered(status)
+                }
                 _ => Outcome::Cut,
             }
         } else {
@@ -66,6 +72,13 @@
     }
 }
 
+impl Client {
+    /// A header of the last answer.
+    pub fn last_header(&self, name: &str) -> Option<String> {
+        self.last.get(name).map(str::to_owned)
+    }
+}
+
 /// Encodes a request with a body of 600 bytes, or none for GET.
 pub fn encode(method: &str, path: &str, id: &str, deadline: u64, extra: &str) -> Vec<u8> {
     let body = if method == "GET" { String::new() } else { "b".repeat(600) };
--- a/review/standin/flood.rs
+++ b/review/standin/flood.rs
@@ -49,6 +49,7 @@
     let headers = server.headers(request);
     let head = format!("HTTP/1.1 200 OK\r\n{headers}Content-Type: text/plain\r\n\r\n");
     if !http::write(sock, head.as_bytes()) {
+        server.leave();
         return false;
     }
     let piece = vec![b'#'; 64 << 10];
@@ -61,6 +62,7 @@
         }
         sent += piece.len();
     }
+    server.leave();
     let id = request.get("Attempt-Id").unwrap_or_default();
     record::line(&format!("server {}: sent {} KB to {id} until it closed", server.id, sent >> 10));
     false
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -13,6 +13,7 @@
 mod relay;
 mod server;
 mod stop;
+mod stuck;
 mod store;
 
 use std::process::exit;
@@ -50,6 +51,7 @@
         "flood" => flood::run(trouble),
         "ghost" => ghost::run(trouble),
         "stop" => stop::run(trouble),
+        "stuck" => stuck::run(trouble),
         _ => Err(format!("no case {name}")),
     };
     relay::kill_all();
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -1,9 +1,9 @@
 //! Stand-in for a server: registers itself in the store, and runs requests.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -15,6 +15,17 @@
 /// can be used again.
 pub type Work = Arc<dyn Fn(&Server, &mut TcpStream, &Message) -> bool + Send + Sync>;
 
+/// Requests that wait beside those that run; further ones are shed.
+const QUEUE: usize = 24;
+
+#[derive(Default)]
+struct Places {
+    running: u32,
+    /// Tickets of the waiting requests.
+    waiting: VecDeque<u64>,
+    last: u64,
+}
+
 /// A server; clones share its state.
 #[derive(Clone)]
 pub struct Server {
@@ -23,11 +34,13 @@
     pub addr: SocketAddr,
     slots: u32,
     sequence: Arc<AtomicU32>,
-    running: Arc<AtomicU32>,
+    /// Requests that run and that wait, in order of their tickets.
+    places: Arc<(Mutex<Places>, Condvar)>,
     /// Arrival times by attempt, in milliseconds since the start of the case.
     arrivals: Arc<Mutex<BTreeMap<String, Vec<u64>>>>,
     /// Register at intervals.
     beats: Arc<AtomicBool>,
+    leaving: Arc<AtomicBool>,
     work: Work,
 }
 
@@ -50,9 +63,10 @@
             addr: listener.local_addr().map_err(|e| e.to_string())?,
             slots,
             sequence: Arc::default(),
-            running: Arc::default(),
+            places: Arc::default(),
             arrivals: Arc::default(),
             beats: Arc::new(AtomicBool::new(true)),
+            leaving: Arc::default(),
             work,
         };
         server.register(store);
@@ -95,9 +109,48 @@
     /// Headers of its answers to a request.
     pub fn headers(&self, request: &Message) -> String {
         let id = request.get("Attempt-Id").unwrap_or_default();
-        let running = self.running.load(Ordering::SeqCst);
-        let load = format!("{},0,{}", running.min(self.slots), self.slots);
-        format!("Attempt-Id: {id}\r\nInstance-Seal: seal.{}.{id}\r\nInstance-Load: {load}\r\n", self.id)
+        let load = self.load();
+        let leaving = self.leaving.load(Ordering::SeqCst);
+        let leaving = if leaving { "Server-Leaving: 1\r\n" } else { "" };
+        format!(
+            "Attempt-Id: {id}\r\nInstance-Seal: seal.{}.{id}\r\nInstance-Load: {load}\r\n{leaving}",
+            self.id
+        )
+    }
+
+    /// Running and waiting requests, and slots.
+    fn load(&self) -> String {
+        let places = self.places.0.lock().unwrap();
+        format!("{},{},{}", places.running, places.waiting.len(), self.slots)
+    }
+
+    /// Waits for a slot. Returns false if the queue is full.
+    fn enter(&self) -> bool {
+        let (places, changed) = &*self.places;
+        let mut places = places.lock().unwrap();
+        if places.running < self.slots && places.waiting.is_empty() {
+            places.running += 1;
+            return true;
+        }
+        if places.waiting.len() >= QUEUE {
+            return false;
+        }
+        places.last += 1;
+        let ticket = places.last;
+        places.waiting.push_back(ticket);
+        while places.running >= self.slots || places.waiting.front() != Some(&ticket) {
+            places = changed.wait(places).unwrap();
+        }
+        places.waiting.pop_front();
+        places.running += 1;
+        changed.notify_all();
+        true
+    }
+
+    /// Frees the slot of a request that has run.
+    pub fn leave(&self) {
+        self.places.0.lock().unwrap().running -= 1;
+        self.places.1.notify_all();
     }
 
     fn serve(&self, mut sock: TcpStream) {
@@ -116,17 +169,30 @@
                 }
                 continue;
             }
+            if !self.enter() {
+                let load = self.load();
+                record::line(&format!("server {}: sheds {id}, load {load}", self.id));
+                let headers =
+                    [("Not-Executed", "1"), ("Attempt-Id", id.as_str()), ("Instance-Load", &load)];
+                if !http::write(&mut sock, &http::response(503, &headers, b"")) {
+                    return;
+                }
+                continue;
+            }
             record::line(&format!("server {}: runs {id}", self.id));
             self.arrivals.lock().unwrap().entry(id).or_default().push(record::now());
-            self.running.fetch_add(1, Ordering::SeqCst);
             let kept = (self.work)(self, &mut sock, &request);
-            self.running.fetch_sub(1, Ordering::SeqCst);
             if !kept {
                 return;
             }
         }
     }
 
+    /// Says in all answers from now on that it is leaving.
+    pub fn leaves(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
     /// Stops registering; the entry is the caller's to remove.
     pub fn stop_beats(&self) {
         self.beats.store(false, Ordering::SeqCst);
@@ -137,6 +203,7 @@
 pub fn answer_after(time: Duration) -> Work {
     Arc::new(move |server, sock, request| {
         thread::sleep(time);
+        server.leave();
         answer(server, sock, request)
     })
 }
@@ -162,6 +229,7 @@
         "HTTP/1.1 200 OK\r\n{headers}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
     if !http::write(sock, head.as_bytes()) {
+        server.leave();
         return false;
     }
     let last = request.get("Last-Event-Id").and_then(|v| v.parse().ok()).unwrap_or(0u64);
@@ -169,9 +237,11 @@
         let event = format!("id: {i}\ndata: piece {i}\n\n");
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         if !http::write(sock, chunk.as_bytes()) {
+            server.leave();
             return false;
         }
         thread::sleep(gap);
     }
+    server.leave();
     http::write(sock, b"0\r\n\r\n")
 }
