--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -45,7 +45,14 @@
     }
 
     /// Sends a request and reads the answer; `deadline` is the time that the client waits, in ms.
-    pub fn ask(&mut self, method: &str, path: &str, id: &str, deadline: u64, extra: &str) -> Outcome {
+    pub fn ask(
+        &mut self,
+        method: &str,
+        path: &str,
+        id: &str,
+        deadline: u64,
+        extra: &str,
+    ) -> Outcome {
         let wait = Duration::from_millis(deadline + 1_000);
         let _ = self.sock.set_read_timeout(Some(wait));
         self.sent += 1;
--- a/review/standin/ghost.rs
+++ b/review/standin/ghost.rs
@@ -136,7 +136,10 @@
     let late: Vec<&Lookup> = sent.iter().filter(late).collect();
     for l in &late {
         let after = l.sent_at - said_at;
-        record::line(&format!("{} was sent {after} ms after that, and reached {}", l.id, leaving.id));
+        record::line(&format!(
+            "{} was sent {after} ms after that, and reached {}",
+            l.id, leaving.id
+        ));
     }
     record::line(&format!("{} requests reached it over {DRAIN_MS} ms after that", late.len()));
     Ok(if late.is_empty() { Verdict::Held } else { Verdict::Broken })
--- a/review/standin/flood.rs
+++ b/review/standin/memory.rs
@@ -1,4 +1,4 @@
-//! Case 2: a server in trouble sends bytes that are no answer, without end, until the caller closes.
+//! Case 3: a server in trouble sends bytes that are no answer, without end, until the caller closes.
 //! Requests to sound servers of another service are in flight on kept connections.
 
 use std::collections::BTreeSet;
@@ -31,11 +31,15 @@
 const TRAFFIC: Duration = Duration::from_secs(20);
 
 /// The link of the server in trouble, which all its connections share.
-struct Pace(Mutex<Instant>);
+pub struct Pace(Mutex<Instant>);
 
 impl Pace {
+    pub fn new() -> Self {
+        Self(Mutex::new(Instant::now()))
+    }
+
     /// Waits until the link has carried `n` further bytes.
-    fn take(&self, n: usize) {
+    pub fn take(&self, n: usize) {
         let mut next = self.0.lock().unwrap();
         let at = (*next).max(Instant::now());
         *next = at + Duration::from_micros((n * 1_000 / LINK) as u64);
@@ -78,7 +82,7 @@
         server.beat(&store);
         servers.push(server);
     }
-    let pace = Arc::new(Pace(Mutex::new(Instant::now())));
+    let pace = Arc::new(Pace::new());
     for i in 0..2 {
         let pace = Arc::clone(&pace);
         let faulty = trouble && i == 0;
@@ -125,7 +129,9 @@
             most = used;
         }
         if used > MEMORY_MB {
-            record::line(&format!("platform: kills the relay, which uses {used} of {MEMORY_MB} MB"));
+            record::line(&format!(
+                "platform: kills the relay, which uses {used} of {MEMORY_MB} MB"
+            ));
             relay.kill();
             return true;
         }
