--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -10,6 +10,9 @@
 /// API key of the only tenant.
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
 
+/// Further API key of the tenant.
+pub const NEW_KEY: &str = "anfqasnmgkcuyj8pjbvk";
+
 /// A new id of a client attempt.
 pub fn attempt() -> String {
     static NEXT: AtomicU64 = AtomicU64::new(1);
@@ -30,7 +33,7 @@
 /// A connection of a client.
 pub struct Client {
     pub sock: TcpStream,
-    buffer: Vec<u8>,
+    pub buffer: Vec<u8>,
     /// Requests sent over it.
     pub sent: u32,
     /// The last answer.
@@ -44,7 +47,8 @@
         Some(Self { sock, buffer: Vec::new(), sent: 0, last: Message::default() })
     }
 
-    /// Sends a request and reads the answer; `deadline` is the time that the client waits, in ms.
+    /// Sends a request with [`KEY`] and reads the answer; `deadline` is the time that the client
+    /// waits, in ms.
     pub fn ask(
         &mut self,
         method: &str,
@@ -52,27 +56,41 @@
         id: &str,
         deadline: u64,
         extra: &str,
+    ) -> Outcome {
+        self.ask_as(KEY, method, path, id, deadline, extra)
+    }
+
+    /// The same with another key.
+    pub fn ask_as(
+        &mut self,
+        key: &str,
+        method: &str,
+        path: &str,
+        id: &str,
+        deadline: u64,
+        extra: &str,
     ) -> Outcome {
         let wait = Duration::from_millis(deadline + 1_000);
         let _ = self.sock.set_read_timeout(Some(wait));
         self.sent += 1;
         record::line(&format!("client: sends {id} {method} {path}"));
         let sent_at = std::time::Instant::now();
-        let outcome = if http::write(&mut self.sock, &encode(method, path, id, deadline, extra)) {
-            match http::read(&mut self.sock, &mut self.buffer) {
-                Some(Message { complete: false, .. }) | None if sent_at.elapsed() >= wait => {
-                    Outcome::Silent
+        let outcome =
+            if http::write(&mut self.sock, &encode_as(key, method, path, id, deadline, extra)) {
+                match http::read(&mut self.sock, &mut self.buffer) {
+                    Some(Message { complete: false, .. }) | None if sent_at.elapsed() >= wait => {
+                        Outcome::Silent
+                    }
+                    Some(m) if m.complete => {
+                        let status = m.status();
+                        self.last = m;
+                        Outcome::Answered(status)
+                    }
+                    _ => Outcome::Cut,
                 }
-                Some(m) if m.complete => {
-                    let status = m.status();
-                    self.last = m;
-                    Outcome::Answered(status)
-                }
-                _ => Outcome::Cut,
-            }
-        } else {
-            Outcome::Cut
-        };
+            } else {
+                Outcome::Cut
+            };
         let took = sent_at.elapsed().as_millis();
         record::line(&format!("client: {id} {outcome:?} after {took} ms"));
         outcome
@@ -86,12 +104,19 @@
     }
 }
 
-/// Encodes a request with a body of 600 bytes, or none for GET.
-pub fn encode(method: &str, path: &str, id: &str, deadline: u64, extra: &str) -> Vec<u8> {
-    let body = if method == "GET" { String::new() } else { "b".repeat(600) };
+/// Encodes a request with a body of 600 bytes, or none for GET and HEAD.
+pub fn encode_as(
+    key: &str,
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline: u64,
+    extra: &str,
+) -> Vec<u8> {
+    let body = if matches!(method, "GET" | "HEAD") { String::new() } else { "b".repeat(600) };
     format!(
         "{method} {path} HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: {id}\r\n\
-         Deadline-Ms: {deadline}\r\nKey: {KEY}\r\n{extra}Content-Length: {}\r\n\r\n{body}",
+         Deadline-Ms: {deadline}\r\nKey: {key}\r\n{extra}Content-Length: {}\r\n\r\n{body}",
         body.len()
     )
     .into_bytes()
@@ -99,6 +124,11 @@
 
 /// The operator's configuration: routes for streams, orders and look-ups.
 pub fn config() -> String {
+    config_with(7, &[KEY])
+}
+
+/// The same with a version and the tenant's keys.
+pub fn config_with(version: u32, keys: &[&str]) -> String {
     let route = |name: &str, kind: &str, service: &str, timeout: u32, target: u32, more: &str| {
         format!(
             r#"{{"name":"r-{name}","host":"ficu95.example","path-prefix":"/{name}/","type":"{kind}","timeout-ms":{timeout},"target-latency-ms":{target},"priority":1,"service":"{service}","public":false,{more}}}"#
@@ -110,8 +140,10 @@
         route("order", "non_idempotent", "balcao", 1_000, 100, r#""max-attempts":1"#),
         route("stock", "idempotent", "balcao", 1_000, 100, r#""max-attempts":2"#),
     ];
+    let keys: Vec<String> = keys.iter().map(|k| format!("\"{k}\"")).collect();
+    let keys = keys.join(",");
     format!(
-        r#"{{"version":7,"routes":[{}],"services":[{{"name":"redator","health-path":"/healthz","max-conns":370,"protocol":"h1","tls":false}},{{"name":"balcao","health-path":"/healthz","max-conns":110,"protocol":"h1","tls":false}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{{"name":"hule930","api-keys":["{KEY}"],"priority":1}}]}}"#,
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"redator","health-path":"/healthz","max-conns":370,"protocol":"h1","tls":false}},{{"name":"balcao","health-path":"/healthz","max-conns":110,"protocol":"h1","tls":false}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{{"name":"hule930","api-keys":[{keys}],"priority":1}}]}}"#,
         routes.join(",")
     )
 }
--- a/review/standin/ghost.rs
+++ b/review/standin/ghost.rs
@@ -1,4 +1,4 @@
-//! Case 4: one machine is partitioned from the store for a moment, while a server leaves.
+//! Case 5: one machine is partitioned from the store for a moment, while a server leaves.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -13,6 +13,7 @@
 mod record;
 mod relay;
 mod server;
+mod stop;
 mod store;
 
 use std::process::exit;
@@ -50,6 +51,7 @@
         "memory" => memory::run(trouble),
         "ghost" => ghost::run(trouble),
         "hang" => hang::run(trouble),
+        "stop" => stop::run(trouble),
         _ => Err(format!("no case {name}")),
     };
     relay::kill_all();
--- a/review/standin/relay.rs
+++ b/review/standin/relay.rs
@@ -100,6 +100,17 @@
         self.child.lock().unwrap().id()
     }
 
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        unsafe extern "C" {
+            fn kill(pid: i32, signal: i32) -> i32;
+        }
+        const SIGTERM: i32 = 15;
+        if self.exit().is_none() {
+            unsafe { kill(self.pid() as i32, SIGTERM) };
+        }
+    }
+
     /// Kills the process, as the platform does to one that uses more memory than it may.
     pub fn kill(&self) {
         let _ = self.child.lock().unwrap().kill();
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -41,6 +41,8 @@
     /// Register at intervals.
     beats: Arc<AtomicBool>,
     leaving: Arc<AtomicBool>,
+    /// Length of its queue, and the `Retry-After` of what it sheds.
+    limits: Arc<Mutex<(usize, Option<&'static str>)>>,
     work: Work,
 }
 
@@ -67,6 +69,7 @@
             arrivals: Arc::default(),
             beats: Arc::new(AtomicBool::new(true)),
             leaving: Arc::default(),
+            limits: Arc::new(Mutex::new((QUEUE, None))),
             work,
         };
         server.register(store);
@@ -132,7 +135,7 @@
             places.running += 1;
             return true;
         }
-        if places.waiting.len() >= QUEUE {
+        if places.waiting.len() >= self.limits.lock().unwrap().0 {
             return false;
         }
         places.last += 1;
@@ -172,8 +175,9 @@
             if !self.enter() {
                 let load = self.load();
                 record::line(&format!("server {}: sheds {id}, load {load}", self.id));
-                let headers =
-                    [("Not-Executed", "1"), ("Attempt-Id", id.as_str()), ("Instance-Load", &load)];
+                let mut headers =
+                    vec![("Not-Executed", "1"), ("Attempt-Id", &id), ("Instance-Load", &load)];
+                headers.extend(self.limits.lock().unwrap().1.map(|pause| ("Retry-After", pause)));
                 if !http::write(&mut sock, &http::response(503, &headers, b"")) {
                     return;
                 }
@@ -193,6 +197,11 @@
         self.leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Sets the length of its queue, and the pause in seconds that it asks for when it is full.
+    pub fn limit(&self, queue: usize, pause: &'static str) {
+        *self.limits.lock().unwrap() = (queue, Some(pause));
+    }
+
     /// Stops registering; the entry is the caller's to remove.
     pub fn stop_beats(&self) {
         self.beats.store(false, Ordering::SeqCst);
@@ -210,7 +219,7 @@
 
 /// Answers with a body of 800 bytes.
 pub fn answer(server: &Server, sock: &mut TcpStream, request: &Message) -> bool {
-    let body = "x".repeat(800);
+    let body = if request.first.starts_with("HEAD ") { String::new() } else { "x".repeat(800) };
     let headers = server.headers(request);
     let out = format!("HTTP/1.1 200 OK\r\n{headers}Content-Length: 800\r\n\r\n{body}");
     http::write(sock, out.as_bytes())
