--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -10,9 +10,6 @@
 /// API key of the only tenant.
 pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
 
-/// Further API key of the tenant.
-pub const NEW_KEY: &str = "anfqasnmgkcuyj8pjbvk";
-
 /// A new id of a client attempt.
 pub fn attempt() -> String {
     static NEXT: AtomicU64 = AtomicU64::new(1);
--- a/review/standin/hang.rs
+++ b/review/standin/hang.rs
@@ -19,6 +19,8 @@
 const KEPT_CLIENTS: usize = 8;
 /// Time that a sound server works on an order.
 const WORK: Duration = Duration::from_millis(60);
+/// Speed of the server in trouble, in bytes per millisecond: 500 Mbit/s, half of the link.
+const LINK: usize = 62_500;
 /// Duration of the traffic, and the time in it at which the stream is asked for.
 const TRAFFIC: Duration = Duration::from_secs(30);
 const STREAM_AT: Duration = Duration::from_secs(2);
@@ -54,7 +56,7 @@
         let work = server::answer_after(WORK);
         Server::start(&store, &format!("i-7f3a91c{i}"), "balcao", 6, work)?.beat(&store);
     }
-    let pace = Arc::new(Pace::new());
+    let pace = Arc::new(Pace::new(LINK));
     for i in 0..2 {
         let pace = Arc::clone(&pace);
         let faulty = trouble && i == 0;
--- a/review/standin/memory.rs
+++ b/review/standin/memory.rs
@@ -31,18 +31,22 @@
 const TRAFFIC: Duration = Duration::from_secs(20);
 
 /// The link of the server in trouble, which all its connections share.
-pub struct Pace(Mutex<Instant>);
+pub struct Pace {
+    /// Bytes per millisecond.
+    rate: usize,
+    next: Mutex<Instant>,
+}
 
 impl Pace {
-    pub fn new() -> Self {
-        Self(Mutex::new(Instant::now()))
+    pub fn new(rate: usize) -> Self {
+        Self { rate, next: Mutex::new(Instant::now()) }
     }
 
     /// Waits until the link has carried `n` further bytes.
     pub fn take(&self, n: usize) {
-        let mut next = self.0.lock().unwrap();
+        let mut next = self.next.lock().unwrap();
         let at = (*next).max(Instant::now());
-        *next = at + Duration::from_micros((n * 1_000 / LINK) as u64);
+        *next = at + Duration::from_micros((n * 1_000 / self.rate) as u64);
         drop(next);
         thread::sleep(at.saturating_duration_since(Instant::now()));
     }
@@ -82,7 +86,7 @@
         server.beat(&store);
         servers.push(server);
     }
-    let pace = Arc::new(Pace::new());
+    let pace = Arc::new(Pace::new(LINK));
     for i in 0..2 {
         let pace = Arc::clone(&pace);
         let faulty = trouble && i == 0;
