Measure turns of the event loop, and the bytes read in them

Hypotheses: (a) reading from a sender that keeps up never ends; (b) reading ends, parsing costs the square of what was read; (c) many short turns starve the timers.

Now a turn of 250 ms and more is logged with its duration, the bytes read from callers and from endpoints, and the responses skipped; `relay_turn_seconds` and `relay_read_bytes_total` by kind of connection. Few bytes in a long turn are (b), many (a), no long turn (c).

--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -4,6 +4,7 @@
 
 use super::Driver;
 use super::outcome::Cause;
+use super::turn::Turn;
 use crate::policy::attempt::FailureKind;
 use crate::relay::caller::Caller;
 use crate::relay::link::{Disconnect, Link};
@@ -38,7 +39,7 @@
         loop {
             let Some(link) = self.links.get_mut(index) else { return };
             let step = if link.head.is_none() {
-                let step = parse_head(link, &self.setup.names, &self.callers);
+                let step = parse_head(link, &self.setup.names, &self.callers, &mut self.turn);
                 self.apply_notices(index);
                 step
             } else {
@@ -128,6 +129,7 @@
 
     /// Discards a response that belongs to another request.
     fn skip_foreign(&mut self, index: usize) {
+        self.turn.skipped += 1;
         let link = &mut self.links[index];
         tracing::info!(endpoint = link.endpoint, "relay: response to another request discarded");
         link.clear();
@@ -367,7 +369,12 @@
 
 /// Parses the head of a response. A 2xx response without the seal header is invalid: it doesn't
 /// come from the endpoint.
-fn parse_head(link: &mut Link, names: &HeaderNames, callers: &Slab<Caller>) -> ParseStep {
+fn parse_head(
+    link: &mut Link,
+    names: &HeaderNames,
+    callers: &Slab<Caller>,
+    turn: &mut Turn,
+) -> ParseStep {
     let head = match wire::parse_response(&link.input, HEAD_LIMIT) {
         Ok(Some(head)) => head,
         Ok(None) => return ParseStep::Incomplete,
@@ -375,6 +382,7 @@
     };
     link.input.drain(..head.size);
     if (100..200).contains(&head.status) {
+        turn.skipped += 1;
         return if head.status == 101 { ParseStep::Invalid } else { ParseStep::Continue };
     }
     let Ok(framing) = wire::response_framing(&head, &link.method) else {
--- a/src/relay/driver/callers.rs
+++ b/src/relay/driver/callers.rs
@@ -89,8 +89,12 @@
         while caller.exchange.is_none() || caller.input.len() < READ_AHEAD {
             match caller.sock.read(&mut self.buffer) {
                 Ok(0) => return false,
-                Ok(_) if caller.linger_until.is_some() => {}
-                Ok(n) => caller.input.extend_from_slice(&self.buffer[..n]),
+                Ok(n) => {
+                    self.turn.caller_bytes += n;
+                    if caller.linger_until.is_none() {
+                        caller.input.extend_from_slice(&self.buffer[..n]);
+                    }
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return false,
--- a/src/relay/driver/links.rs
+++ b/src/relay/driver/links.rs
@@ -172,7 +172,10 @@
         loop {
             match link.sock.read(&mut self.buffer) {
                 Ok(0) => return Some(Disconnect::Closed),
-                Ok(n) => link.input.extend_from_slice(&self.buffer[..n]),
+                Ok(n) => {
+                    self.turn.endpoint_bytes += n;
+                    link.input.extend_from_slice(&self.buffer[..n]);
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
                 Err(e) if e.kind() == io::ErrorKind::NotConnected => return None,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -7,6 +7,7 @@
 mod links;
 mod outcome;
 mod peers;
+mod turn;
 
 use std::io;
 use std::net::SocketAddr;
@@ -19,6 +20,7 @@
 use slab::Slab;
 
 use crashes::BrokenAttempt;
+use turn::Turn;
 
 use super::caller::Caller;
 use super::gossip::{self, Peers};
@@ -139,6 +141,7 @@
     /// Time of the stop request, once the process is stopping.
     stopping_since: Option<Millis>,
     buffer: Vec<u8>,
+    turn: Turn,
 }
 
 impl Driver {
@@ -197,6 +200,7 @@
             last_heartbeat: now,
             stopping_since: None,
             buffer: vec![0; MIN_BUFFER_BYTES.max(gossip::MAX_DATAGRAM)],
+            turn: Turn::default(),
         })
     }
 
@@ -221,7 +225,9 @@
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 Err(e) => return Err(e),
             }
+            let start = self.clock.now();
             for event in &events {
+                self.turn.events += 1;
                 self.handle_event(event.token(), event.is_readable(), event.is_writable());
             }
             self.fire_timers();
@@ -231,6 +237,7 @@
             if self.stop_delay_passed() {
                 self.close_idle();
             }
+            self.finish_turn(start);
             if self.finished() {
                 return Ok(());
             }
--- a/src/relay/stats.rs
+++ b/src/relay/stats.rs
@@ -46,6 +46,13 @@
     pub cause: &'static str,
 }
 
+/// Label of bytes read.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ReadLabels {
+    /// Kind of connection that they came over: `caller` or `endpoint`.
+    pub from: &'static str,
+}
+
 /// The metrics, in one registry.
 #[derive(Debug)]
 pub struct Metrics {
@@ -80,6 +87,10 @@
     pub suspects: Gauge,
     /// Number of crash reports that the last heartbeat had no room for.
     pub reports_due: Gauge,
+    /// Duration of the turns of the event loop, in seconds.
+    pub turns: Histogram,
+    /// Bytes read from callers and endpoints.
+    pub read_bytes: Family<ReadLabels, Counter>,
 }
 
 fn latency() -> Histogram {
@@ -109,6 +120,8 @@
             peers: Gauge::default(),
             suspects: Gauge::default(),
             reports_due: Gauge::default(),
+            turns: latency(),
+            read_bytes: Family::default(),
         };
         metrics.register();
         metrics
@@ -149,6 +162,8 @@
             "crash reports that the last heartbeat had no room for",
             self.reports_due.clone(),
         );
+        r.register("turn_seconds", "duration of turns of the event loop", self.turns.clone());
+        r.register("read_bytes", "bytes read by kind of connection", self.read_bytes.clone());
     }
 
     /// Renders the metrics in the Prometheus text format.
