Bound what one turn of the event loop reads and skips for a connection

Cause: `fill_link` read all that had arrived before anything was parsed, and `parse_head` removed each head from the front of that buffer, so that the work of one turn grew with the square of the bytes. Nothing bounded the number of responses that are skipped. Evidence: the endpoint got rid of 10 MB in 28 s of the 62.5 MB/s that its link takes (reading doesn't keep up, it has stopped), and all stack samples were in memmove below `parse_head`. Ruled out: an endless read (the sender would not be blocked) and starved timers (no turn ended).

Change: a turn reads at most 64 KB from a connection (`relay/read.rs`); one with more to read is read on in the next turn, after the events of all others, since the poller reports it only once. A connection with unread bytes isn't kept for reuse. At most 16 responses, and 16 MB of their bodies, are skipped before the one awaited. The same cause on related paths: `fill_caller` (bounded in the same way; what comes after a rejected request is discarded even while its response can't be written), accepted connections and datagrams (bounded numbers in a turn), trailers of chunked bodies (16 KB), the search for the end of an event (it began anew with each piece, the square of an event of 1 MB in pieces of one byte). Read and left: `adapter/serve.rs` and `adapter/endpoint.rs` of sassafras-entry have a thread for each connection and bounded heads; calls to the store and to peers have a timeout and a bound of 64 MB.

--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -3,6 +3,7 @@
 use mio::net::TcpStream;
 
 use super::exchange::Exchange;
+use super::read::READ_BUDGET;
 use super::wire::{self, Decoder, Head, MessageError, Step};
 use crate::adapter::clock::Millis;
 
@@ -92,6 +93,19 @@
         self.exchange.is_none() && self.request_start.is_none() && self.out.is_empty()
     }
 
+    /// Maximum bytes to read now.
+    pub(super) fn read_budget(&self) -> usize {
+        if self.exchange.is_none() {
+            return READ_BUDGET;
+        }
+        READ_AHEAD.saturating_sub(self.input.len())
+    }
+
+    /// True when no further request is read: the connection closes after the present response.
+    pub(super) fn discards_input(&self) -> bool {
+        self.linger_until.is_some() || (self.closing && self.exchange.is_none())
+    }
+
     /// Parses the bytes received so far.
     pub(super) fn advance(
         &mut self,
--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -49,7 +49,11 @@
                 ParseStep::Incomplete => return,
                 ParseStep::Continue => {}
                 ParseStep::Invalid => return self.link_failed(index, Cause::InvalidResponse),
-                ParseStep::Complete if self.links[index].foreign => self.skip_foreign(index),
+                ParseStep::Complete if self.links[index].foreign => {
+                    if !self.skip_foreign(index) {
+                        return self.link_failed(index, Cause::InvalidResponse);
+                    }
+                }
                 ParseStep::Complete => return self.response_complete(index),
             }
         }
@@ -117,7 +121,8 @@
             Ok(Step::Data(range)) => link.input[range].to_vec(),
         };
         if link.foreign {
-            return ParseStep::Continue;
+            let within = link.skip_bytes(data.len());
+            return if within { ParseStep::Continue } else { ParseStep::Invalid };
         }
         if self.is_event_stream(index) {
             return self.forward_events(index, &data);
@@ -127,12 +132,13 @@
         if link.body.len() > BODY_LIMIT { ParseStep::Invalid } else { ParseStep::Continue }
     }
 
-    /// Discards a response that belongs to another request.
-    fn skip_foreign(&mut self, index: usize) {
+    /// Discards a response that belongs to another request. Returns false if there are too many.
+    fn skip_foreign(&mut self, index: usize) -> bool {
         self.turn.skipped += 1;
         let link = &mut self.links[index];
         tracing::info!(endpoint = link.endpoint, "relay: response to another request discarded");
         link.clear();
+        link.skip_response()
     }
 
     /// True if the response is a stream of events, which is forwarded as it arrives.
@@ -383,7 +389,8 @@
     link.input.drain(..head.size);
     if (100..200).contains(&head.status) {
         turn.skipped += 1;
-        return if head.status == 101 { ParseStep::Invalid } else { ParseStep::Continue };
+        let valid = head.status != 101 && link.skip_response();
+        return if valid { ParseStep::Continue } else { ParseStep::Invalid };
     }
     let Ok(framing) = wire::response_framing(&head, &link.method) else {
         return ParseStep::Invalid;
--- a/src/relay/driver/callers.rs
+++ b/src/relay/driver/callers.rs
@@ -1,16 +1,19 @@
 //! Connections of callers: reads requests, writes responses, detects disconnects.
 
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::Shutdown;
 
 use mio::Interest;
 
-use super::{Driver, caller_token};
+use super::{Driver, FRONT, READY, caller_token};
 use crate::adapter::clock::Millis;
-use crate::relay::caller::{Caller, ListenerKind, Progress, READ_AHEAD};
+use crate::relay::caller::{Caller, ListenerKind, Progress};
+use crate::relay::read::{ReadEnd, read_available};
 use crate::relay::timers::Owner;
 use crate::relay::wire::{self, MessageError};
 
+/// Maximum connections that are accepted in one turn of the event loop.
+const MAX_ACCEPTS: usize = 256;
 /// Time for which input is still read after the write side is shut down: closing with unread input
 /// sends a reset, and the caller could lose the response.
 const LINGER_MS: u64 = 1_000;
@@ -25,9 +28,9 @@
 const GRACE_MARGIN_MS: u64 = 500;
 
 impl Driver {
-    /// Accepts all pending connections of a listener.
+    /// Accepts pending connections of a listener.
     pub(super) fn accept(&mut self, kind: ListenerKind) {
-        loop {
+        for _ in 0..MAX_ACCEPTS {
             let listener = if kind == ListenerKind::Front { &self.front } else { &self.ready };
             match listener.accept() {
                 Ok((sock, _)) => self.add_caller(sock, kind),
@@ -39,6 +42,7 @@
                 }
             }
         }
+        self.unread.insert(if kind == ListenerKind::Front { FRONT } else { READY });
     }
 
     fn add_caller(&mut self, sock: mio::net::TcpStream, kind: ListenerKind) {
@@ -82,25 +86,24 @@
         }
     }
 
-    /// Reads the available bytes into the input buffer, up to [`READ_AHEAD`] while a request is in
+    /// Reads available bytes into the input buffer, up to [`READ_AHEAD`] while a request is in
     /// flight. Returns false if the connection is closed or broken.
     fn fill_caller(&mut self, index: usize) -> bool {
         let caller = &mut self.callers[index];
-        while caller.exchange.is_none() || caller.input.len() < READ_AHEAD {
-            match caller.sock.read(&mut self.buffer) {
-                Ok(0) => return false,
-                Ok(n) => {
-                    self.turn.caller_bytes += n;
-                    if caller.linger_until.is_none() {
-                        caller.input.extend_from_slice(&self.buffer[..n]);
-                    }
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return false,
+        let budget = caller.read_budget();
+        let discards = caller.discards_input();
+        let Caller { sock, input, .. } = caller;
+        let bytes = &mut self.turn.caller_bytes;
+        let end = read_available(sock, &mut self.buffer, budget, |piece| {
+            *bytes += piece.len();
+            if !discards {
+                input.extend_from_slice(piece);
             }
+        });
+        if end == ReadEnd::Budget && caller.read_budget() > 0 {
+            self.unread.insert(caller_token(index));
         }
-        true
+        matches!(end, ReadEnd::Drained | ReadEnd::Budget)
     }
 
     /// Handles the next request in the input buffer.
--- a/src/relay/driver/links.rs
+++ b/src/relay/driver/links.rs
@@ -1,7 +1,7 @@
 //! Connections to endpoints: connects, writes requests, reads responses, keeps connections for
 //! reuse.
 
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::SocketAddr;
 
 use mio::Interest;
@@ -10,6 +10,7 @@
 use super::{Driver, link_token};
 use crate::adapter::clock::Millis;
 use crate::relay::link::{CONNECT_TIMEOUT, CallerRef, Disconnect, IDLE_TIMEOUT_ONCE, Link};
+use crate::relay::read::{READ_BUDGET, ReadEnd, read_available};
 use crate::relay::timers::Owner;
 
 /// Fraction of an endpoint's maximum connections that the fleet uses.
@@ -166,28 +167,30 @@
         }
     }
 
-    /// Reads the available bytes into the input buffer. Returns how the connection ended, if so.
+    /// Reads available bytes into the input buffer. Returns how the connection ended, if so.
     fn fill_link(&mut self, index: usize) -> Option<Disconnect> {
-        let link = &mut self.links[index];
-        loop {
-            match link.sock.read(&mut self.buffer) {
-                Ok(0) => return Some(Disconnect::Closed),
-                Ok(n) => {
-                    self.turn.endpoint_bytes += n;
-                    link.input.extend_from_slice(&self.buffer[..n]);
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
-                Err(e) if e.kind() == io::ErrorKind::NotConnected => return None,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return Some(Disconnect::Reset),
+        let Link { sock, input, .. } = &mut self.links[index];
+        let bytes = &mut self.turn.endpoint_bytes;
+        let end = read_available(sock, &mut self.buffer, READ_BUDGET, |piece| {
+            *bytes += piece.len();
+            input.extend_from_slice(piece);
+        });
+        match end {
+            ReadEnd::Drained => None,
+            ReadEnd::Budget => {
+                self.unread.insert(link_token(index));
+                None
             }
+            ReadEnd::Closed => Some(Disconnect::Closed),
+            ReadEnd::Reset => Some(Disconnect::Reset),
         }
     }
 
     /// Keeps a connection for reuse after a complete response, or closes it if it isn't reusable.
     pub(super) fn release_link(&mut self, index: usize) {
         let Some(link) = self.links.get_mut(index) else { return };
-        if !link.reusable() {
+        // More than the response may have arrived.
+        if !link.reusable() || self.unread.contains(&link_token(index)) {
             self.drop_link(index);
             return;
         }
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -141,6 +141,8 @@
     /// Time of the stop request, once the process is stopping.
     stopping_since: Option<Millis>,
     buffer: Vec<u8>,
+    /// Sockets that may have more to read than one turn takes: the poller reports them only once.
+    unread: IndexSet<Token>,
     turn: Turn,
 }
 
@@ -200,6 +202,7 @@
             last_heartbeat: now,
             stopping_since: None,
             buffer: vec![0; MIN_BUFFER_BYTES.max(gossip::MAX_DATAGRAM)],
+            unread: IndexSet::new(),
             turn: Turn::default(),
         })
     }
@@ -219,17 +222,21 @@
         let mut events = Events::with_capacity(EVENT_CAPACITY);
         loop {
             let now = self.clock.now();
-            let next = self.timers.next().map_or(MAX_POLL_MS, |at| at.saturating_sub(now));
-            match self.poll.poll(&mut events, Some(Duration::from_millis(next.min(MAX_POLL_MS)))) {
+            let wait = Duration::from_millis(self.max_poll(now));
+            match self.poll.poll(&mut events, Some(wait)) {
                 Ok(()) => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 Err(e) => return Err(e),
             }
             let start = self.clock.now();
+            let unread = std::mem::take(&mut self.unread);
             for event in &events {
                 self.turn.events += 1;
                 self.handle_event(event.token(), event.is_readable(), event.is_writable());
             }
+            for token in unread {
+                self.handle_event(token, true, false);
+            }
             self.fire_timers();
             self.check_refused();
             self.end_quarantined();
@@ -244,6 +251,14 @@
         }
     }
 
+    /// Maximum time that the loop blocks in the next poll, in milliseconds.
+    fn max_poll(&self, now: Millis) -> u64 {
+        if !self.unread.is_empty() {
+            return 0;
+        }
+        self.timers.next().map_or(MAX_POLL_MS, |at| at.saturating_sub(now)).min(MAX_POLL_MS)
+    }
+
     fn handle_event(&mut self, token: Token, readable: bool, writable: bool) {
         match token {
             WAKE => self.apply_updates(),
--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -6,8 +6,8 @@
 
 use indexmap::IndexMap;
 
-use super::Driver;
 use super::outcome::STALE_REPORT_MS;
+use super::{Driver, GOSSIP};
 use crate::adapter::clock::Millis;
 use crate::adapter::codec;
 use crate::fleet::readers;
@@ -19,6 +19,9 @@
 use crate::relay::table::{RoutingTable, Service};
 use crate::relay::timers::Owner;
 
+/// Maximum datagrams that are received in one turn of the event loop.
+const MAX_DATAGRAMS: usize = 1_024;
+
 impl Driver {
     /// Applies updates from other threads: a new table, lists of endpoints and instances, or a stop
     /// request.
@@ -281,12 +284,16 @@
         loaded.map(|e| (e.listing.id.clone(), e.own)).collect()
     }
 
-    /// Receives all pending datagrams.
+    /// Receives pending datagrams.
     pub(super) fn receive_heartbeats(&mut self) {
-        loop {
+        let mut drained = false;
+        for _ in 0..MAX_DATAGRAMS {
             let (n, from) = match self.udp.recv_from(&mut self.buffer) {
                 Ok(got) => got,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    drained = true;
+                    break;
+                }
                 Err(e) => {
                     tracing::debug!("relay: datagram not received: {e}");
                     return;
@@ -297,6 +304,9 @@
                 Err(e) => tracing::warn!(%from, "relay: malformed datagram ignored: {e}"),
             }
         }
+        if !drained {
+            self.unread.insert(GOSSIP);
+        }
         self.schedule_peer_loads();
     }
 
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -14,6 +14,11 @@
 /// milliseconds. If the endpoint closed the connection at that moment, it would be unknown whether
 /// the request ran.
 pub(super) const IDLE_TIMEOUT_ONCE: u64 = 800;
+/// Maximum responses that are skipped before the one to the request: interim ones, and those to
+/// other requests.
+const MAX_SKIPPED: u32 = 16;
+/// Maximum size of the bodies that are skipped with them, in bytes.
+const MAX_SKIPPED_BYTES: usize = 16 << 20;
 /// Safety margin before the idle timeout that an endpoint announces, in milliseconds.
 const IDLE_MARGIN: u64 = 500;
 
@@ -55,6 +60,8 @@
     pub(super) body: Vec<u8>,
     /// The response being read belongs to another request and is skipped.
     pub(super) foreign: bool,
+    /// Responses skipped since the request was sent, and the bytes of their bodies.
+    skipped: (u32, usize),
     /// Number of requests completed.
     pub(super) served: u32,
     /// Ids of the attempts that the endpoint refused over it.
@@ -89,6 +96,7 @@
             decoder: None,
             body: Vec::new(),
             foreign: false,
+            skipped: (0, 0),
             served: 0,
             refused: IndexSet::new(),
             idle_since: now,
@@ -102,9 +110,22 @@
         self.method = method.to_owned();
         self.out = bytes;
         self.wrote = false;
+        self.skipped = (0, 0);
         self.clear();
     }
 
+    /// Counts a response that is skipped. Returns false if there are too many.
+    pub(super) fn skip_response(&mut self) -> bool {
+        self.skipped.0 += 1;
+        self.skipped.0 <= MAX_SKIPPED
+    }
+
+    /// Counts `n` bytes of the body of a response that is skipped. Returns false if there are too many.
+    pub(super) fn skip_bytes(&mut self, n: usize) -> bool {
+        self.skipped.1 += n;
+        self.skipped.1 <= MAX_SKIPPED_BYTES
+    }
+
     /// Discards the state of the response being read.
     pub(super) fn clear(&mut self) {
         self.head = None;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -12,6 +12,7 @@
 pub mod link;
 pub mod names;
 pub mod queue;
+pub mod read;
 pub mod serve;
 pub mod sse;
 pub mod state;
--- a/src/relay/sse.rs
+++ b/src/relay/sse.rs
@@ -1,6 +1,8 @@
 //! Splits a byte stream into server-sent events, so that only complete events are passed on, and
 //! each only once.
 
+/// Maximum length of the line breaks that end an event, in bytes.
+const EVENT_END: usize = 3;
 /// Maximum size of an event, in bytes.
 const MAX_EVENT: usize = 1 << 20;
 
@@ -17,6 +19,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Splitter {
     pending: Vec<u8>,
+    /// Bytes of `pending` that no end of an event begins in.
+    searched: usize,
     last: Option<u64>,
     passed: u64,
 }
@@ -24,7 +28,7 @@
 impl Splitter {
     /// A splitter for a caller that already has the events up to id `last`.
     pub fn new(last: Option<u64>) -> Self {
-        Self { pending: Vec::new(), last, passed: 0 }
+        Self { last, ..Self::default() }
     }
 
     /// Id of the last event that the caller has: the last one passed on, or the one it had before.
@@ -45,24 +49,26 @@
     /// Drops an incomplete event of the previous endpoint, before another endpoint continues.
     pub fn restart(&mut self) {
         self.pending.clear();
+        self.searched = 0;
     }
 
     /// Adds bytes of the stream and returns the events that are now complete.
     pub fn feed(&mut self, bytes: &[u8]) -> Events {
         self.pending.extend_from_slice(bytes);
         let mut out = Vec::new();
-        let mut start = 0;
-        while let Some(end) = event_end(&self.pending[start..]) {
-            let event = start..start + end;
+        let (mut start, mut from) = (0, self.searched);
+        while let Some(end) = event_end(&self.pending, from) {
+            let event = start..end;
             let id = id(&self.pending[event.clone()]);
             match self.classify(id) {
                 EventAction::Pass => out.extend_from_slice(&self.pending[event]),
                 EventAction::Drop => {}
                 EventAction::Break => return Events::Broken,
             }
-            start += end;
+            (start, from) = (end, end);
         }
         self.pending.drain(..start);
+        self.searched = self.pending.len().saturating_sub(EVENT_END - 1);
         if self.pending.len() > MAX_EVENT {
             return Events::Broken;
         }
@@ -90,9 +96,8 @@
     Break,
 }
 
-/// Length of the first complete event, including the blank line that ends it.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut from = 0;
+/// End of the first event that ends after `from`, including the blank line that ends it.
+fn event_end(bytes: &[u8], mut from: usize) -> Option<usize> {
     while let Some(n) = bytes[from..].iter().position(|b| *b == b'\n') {
         let next = from + n + 1;
         match bytes.get(next) {
--- a/src/relay/wire.rs
+++ b/src/relay/wire.rs
@@ -6,6 +6,8 @@
 const MAX_HEADERS: usize = 100;
 /// Maximum length of a line in a chunked body, such as a chunk size line, in bytes.
 const MAX_CHUNK_LINE: usize = 1 << 10;
+/// Maximum size of the trailer of a chunked body, in bytes.
+const MAX_TRAILER: usize = 16 << 10;
 /// Hop-by-hop headers, which apply to a single connection and are not forwarded.
 const HOP_BY_HOP: [&str; 9] = [
     "connection",
@@ -233,6 +235,8 @@
     remaining: u64,
     chunk: ChunkState,
     pos: usize,
+    /// Bytes of trailer lines decoded.
+    trailer: usize,
     ended: bool,
 }
 
@@ -240,7 +244,7 @@
     /// A decoder for a body that starts at the beginning of the buffer.
     pub fn new(framing: Framing) -> Self {
         let remaining = if let Framing::Length(n) = framing { n } else { 0 };
-        Self { framing, remaining, chunk: ChunkState::Size, pos: 0, ended: false }
+        Self { framing, remaining, chunk: ChunkState::Size, pos: 0, trailer: 0, ended: false }
     }
 
     /// True when the body has been decoded to its end.
@@ -324,6 +328,10 @@
                     if line.is_empty() {
                         return Ok(self.end());
                     }
+                    self.trailer += line.len();
+                    if self.trailer > MAX_TRAILER {
+                        return Err(MessageError::HeadTooLarge);
+                    }
                 }
             }
         }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -7,6 +7,7 @@
 
 mod common;
 
+use std::io::Read;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -19,6 +20,7 @@
 use sassafrasworks::policy::place::{Listing, Load};
 use sassafrasworks::relay::follow::{self, Source, SourceError};
 use sassafrasworks::relay::gossip::{Heartbeat, Peers};
+use sassafrasworks::relay::read::{ReadEnd, read_available};
 use sassafrasworks::relay::serve;
 use sassafrasworks::relay::sse::{Events, Splitter};
 use sassafrasworks::relay::state::{PeerOffsets, Shared};
@@ -489,3 +491,41 @@
     assert!(passed < 1_000, "{passed}");
     assert!(limiter.allow(start + Duration::from_secs(1)));
 }
+
+/// A peer that never stops sending.
+struct EndlessSender;
+
+impl Read for EndlessSender {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        buffer.fill(b'x');
+        Ok(buffer.len())
+    }
+}
+
+#[test]
+fn reading_stops_at_the_budget_when_the_sender_never_stops() {
+    let (mut got, mut buffer) = (0, [0; 1_000]);
+    let end = read_available(&mut EndlessSender, &mut buffer, 5_500, |piece| got += piece.len());
+    assert_eq!((end, got), (ReadEnd::Budget, 6_000));
+}
+
+#[test]
+fn end_of_an_event_is_found_wherever_the_bytes_are_cut() {
+    for text in ["id: 1\ndata: x\n\n", "id: 1\r\ndata: x\r\n\r\n"] {
+        let bytes = text.to_owned() + &text.replace("id: 1", "id: 2");
+        for size in 1..=bytes.len() {
+            let (mut events, mut out) = (Splitter::new(None), Vec::new());
+            for piece in bytes.as_bytes().chunks(size) {
+                let Events::Pass(passed) = events.feed(piece) else { panic!("broken") };
+                out.extend(passed);
+            }
+            assert_eq!(out, bytes.as_bytes(), "pieces of {size}");
+        }
+    }
+}
+
+#[test]
+fn trailer_without_end_is_rejected() {
+    let body = "0\r\n".to_owned() + &"x: 1\r\n".repeat(10_000);
+    assert_eq!(decode(body.as_bytes(), 64), Err(MessageError::HeadTooLarge));
+}
