Take no record before the replica's end for a new one

Cause: a read of the platform was held up by a partition of 3.2 s. Meanwhile the instance copied from a peer, whose replica had the removal of the endpoint. A removal leaves nothing behind, so when the read's response came, its heartbeat, which is older than the removal, was taken for a new entry; the end offset wasn't moved back, so the removal was never read again. The new entry made a new `Endpoint`, which knew nothing of `Server-Leaving`. The regression test sets the order without I/O. Ruled out: an expiry kept in its grace period (the record had no time left), and a peer that handed the entry over (it had removed it).

Change: `append` takes only records from the replica's end on; a full read that ends before the replica changes nothing; an entry that a peer still holds, and whose record this replica has read past, stays removed. So the second, whole copy when a peer lists an entry that we lack is gone, with `lacks_kept`: its check in `copy_for_a_peer_has_what_it_lacks` is replaced by one of what a new replica adopts. The same cause on related paths: two threads publish lists of endpoints, and the older one could come last (`Updates::put_endpoints` goes by the replica's changes); an incarnation that comes back into the list, as after an outage, keeps what it has said of itself: leaving, a pause, stale (`Notices`). Read and left: the configuration goes by version; in sassafras-entry `Fold::apply` goes by offset, and the list is read by one thread.

--- a/src/fleet/replica.rs
+++ b/src/fleet/replica.rs
@@ -4,6 +4,9 @@
 //! Entries may expire on the platform during an outage, although their endpoints are alive. A
 //! removal that is read right after an outage may be such an expiry, so the replica keeps the entry
 //! for a grace period in which the endpoint can register again.
+//!
+//! A removal leaves nothing behind but the end offset, so that offset decides what is old: a response
+//! may arrive after a copy from a peer that has read further.
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -84,6 +87,8 @@
     failed: bool,
     /// Time of the first response after the last outage; 0 if there was none.
     recovered_at: Millis,
+    /// Number of calls that changed an entry.
+    changes: u64,
 }
 
 impl Replica {
@@ -120,22 +125,27 @@
         self.entries.iter().map(|(k, e)| (k.as_str(), e.value.as_slice()))
     }
 
-    /// Applies records that the platform returned from [`end`](Self::end) on. Returns true when an
-    /// entry changed.
+    /// Applies records that the platform returned from an earlier [`end`](Self::end) on; those before
+    /// the present one are accounted for. Returns true when an entry changed.
     pub fn append(&mut self, now: Millis, batch: Batch) -> bool {
         self.set_answered(now);
         let mut changed = false;
-        for record in batch.records {
+        let end = self.end;
+        for record in batch.records.into_iter().filter(|r| r.offset >= end) {
             changed |= self.apply(now, record);
         }
-        self.end = self.end.max(batch.end);
-        changed
+        self.end = end.max(batch.end);
+        self.count_change(changed)
     }
 
     /// Applies a full read of the platform, with the newest record of every key; entries that it
-    /// does not list are removed. Returns true when an entry changed.
+    /// does not list are removed. A read that ends before this replica is older and changes nothing.
+    /// Returns true when an entry changed.
     pub fn reset(&mut self, now: Millis, batch: Batch) -> bool {
         self.set_answered(now);
+        if batch.end < self.end {
+            return false;
+        }
         let mut changed = false;
         let listed =
             |k: &String| batch.kept.contains(k) || batch.records.iter().any(|r| r.key == *k);
@@ -146,16 +156,20 @@
         for record in batch.records {
             changed |= self.apply(now, record);
         }
-        self.end = self.end.max(batch.end);
-        changed
+        self.end = batch.end;
+        self.count_change(changed)
     }
 
     /// Applies a peer's replica if the peer has read further. That is no response of the platform,
-    /// so the times of its responses stay as they are. Returns true when an entry changed.
-    pub fn adopt(&mut self, now: Millis, batch: Batch) -> bool {
+    /// so the times of its responses stay as they are. An entry that this replica lacks although it
+    /// has read past its record was removed, whatever the peer holds. Returns true when an entry
+    /// changed.
+    pub fn adopt(&mut self, now: Millis, mut batch: Batch) -> bool {
         if batch.end <= self.end {
             return false;
         }
+        let is_current = |r: &Record| r.offset >= self.end || self.entries.contains_key(&r.key);
+        batch.records.retain(is_current);
         let (answered_at, failed, recovered_at) =
             (self.answered_at, self.failed, self.recovered_at);
         self.failed = false;
@@ -164,12 +178,6 @@
         changed
     }
 
-    /// True when this replica lacks an entry that the peer left out of `batch` as unchanged; the
-    /// whole replica is needed then.
-    pub fn lacks_kept(&self, batch: &Batch) -> bool {
-        batch.kept.iter().any(|k| !self.entries.contains_key(k))
-    }
-
     /// Entries at `now` for a peer that has read up to `from`: the records from there on, those of
     /// expired entries, and just the keys of the rest.
     pub fn export(&self, now: Millis, from: u64) -> Batch {
@@ -188,7 +196,18 @@
     pub fn expire(&mut self, now: Millis) -> bool {
         let before = self.entries.len();
         self.entries.retain(|_, e| e.remove_at.is_none_or(|at| at > now));
-        before != self.entries.len()
+        self.count_change(before != self.entries.len())
+    }
+
+    /// Number of changes so far, which tells a later state of the entries from an earlier one.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Counts a change, if there was one. Returns `changed`.
+    fn count_change(&mut self, changed: bool) -> bool {
+        self.changes += u64::from(changed);
+        changed
     }
 
     /// Records a response of the platform. A long silence alone is no outage, since a read may wait
--- a/src/policy/place/endpoint.rs
+++ b/src/policy/place/endpoint.rs
@@ -102,6 +102,17 @@
     }
 }
 
+/// What is known of an incarnation for good or for a stated time, whether it is listed or not.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Notices {
+    /// True when another incarnation has answered at its address.
+    stale: bool,
+    /// Time of its first response that said it is leaving.
+    leaving_since: Option<Millis>,
+    /// Time until which it wants no requests.
+    paused_until: Millis,
+}
+
 /// An endpoint as one instance sees it.
 #[derive(Debug, Default)]
 pub struct Endpoint {
@@ -115,12 +126,7 @@
     id_hash: u64,
     /// Running and waiting requests as reported by the endpoint itself.
     reported: u32,
-    /// True when another incarnation has answered at its address.
-    stale: bool,
-    /// Time of its first response that said it is leaving.
-    leaving_since: Option<Millis>,
-    /// Time until which it wants no requests.
-    paused_until: Millis,
+    notices: Notices,
     /// Moving average of failures, 0 to 1.
     failure_rate: f64,
     /// Ejections since the last success.
@@ -136,6 +142,16 @@
         Self { id_hash: xxh3_64(listing.id.as_bytes()), listing, ..Self::default() }
     }
 
+    /// Creates an endpoint of which something is known already.
+    pub fn with_notices(listing: Listing, notices: Notices) -> Self {
+        Self { notices, ..Self::new(listing) }
+    }
+
+    /// What is known of its incarnation; `None` if that is nothing.
+    pub fn notices(&self) -> Option<Notices> {
+        (self.notices != Notices::default()).then_some(self.notices)
+    }
+
     /// Hash of the endpoint's id.
     pub fn id_hash(&self) -> u64 {
         self.id_hash
@@ -160,37 +176,39 @@
 
     /// True unless it is leaving or stale.
     pub fn accepts_work(&self) -> bool {
-        !self.listing.leaving && !self.stale && !self.says_leaving()
+        !self.listing.leaving && !self.notices.stale && !self.says_leaving()
     }
 
     fn says_leaving(&self) -> bool {
-        self.leaving_since.is_some() && mechanism::on(Mechanism::Leavers)
+        self.notices.leaving_since.is_some() && mechanism::on(Mechanism::Leavers)
     }
 
     /// True if it says that it is leaving, and may be used a little longer where no other is left.
     pub fn may_be_last(&self, now: Millis) -> bool {
-        let recent = self.leaving_since.is_some_and(|at| now < at + LEAVING_USE_MS);
-        recent && !self.listing.leaving && !self.stale
+        let since = self.notices.leaving_since;
+        let recent = since.is_some_and(|at| now < at + LEAVING_USE_MS);
+        recent && !self.listing.leaving && !self.notices.stale
     }
 
     /// Records that a response of this incarnation says that it is leaving. Returns true for the
     /// first one.
     pub fn mark_leaving(&mut self, now: Millis) -> bool {
-        let first = self.leaving_since.is_none();
-        self.leaving_since.get_or_insert(now);
+        let first = self.notices.leaving_since.is_none();
+        self.notices.leaving_since.get_or_insert(now);
         first
     }
 
     /// True while it wants no requests.
     pub fn is_paused(&self, now: Millis) -> bool {
-        now < self.paused_until && mechanism::on(Mechanism::Pauses)
+        now < self.notices.paused_until && mechanism::on(Mechanism::Pauses)
     }
 
     /// Sends it no requests for `ms` milliseconds, at most [`MAX_PAUSE_MS`]. Returns the end of the
     /// pause.
     pub fn pause(&mut self, now: Millis, ms: u64) -> Millis {
-        self.paused_until = self.paused_until.max(now + ms.min(MAX_PAUSE_MS));
-        self.paused_until
+        let until = &mut self.notices.paused_until;
+        *until = (*until).max(now + ms.min(MAX_PAUSE_MS));
+        *until
     }
 
     /// True unless it is ejected.
@@ -200,7 +218,7 @@
 
     /// Excludes the endpoint, because another incarnation has answered at its address.
     pub fn mark_stale(&mut self) {
-        self.stale = true;
+        self.notices.stale = true;
     }
 
     /// Records an answered request, which ends an ejection.
--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -11,7 +11,7 @@
 mod speed;
 
 pub use backlog::{Misses, Queued, send_order};
-pub use endpoint::{Endpoint, Listing, Load, Uncached};
+pub use endpoint::{Endpoint, Listing, Load, Notices, Uncached};
 pub use speed::{Samples, Speed};
 
 use indexmap::IndexMap;
@@ -64,6 +64,9 @@
 /// that capacity stays free for more urgent requests.
 const PRIORITY_FACTORS: [f64; 3] = [1.2, 1.0, 0.8];
 
+/// Maximum incarnations that are remembered after they have left the list.
+const MAX_UNLISTED: usize = 512;
+
 /// A request with more uncached prompt tokens than this is sent to a busy endpoint only during its
 /// instance's turn.
 const TURN_MIN_TOKENS: u32 = 2 * STEP_TOKENS;
@@ -206,6 +209,8 @@
     pub profile: Profile,
     domain: String,
     endpoints: IndexMap<String, Endpoint>,
+    /// What is known of incarnations that are not listed now, oldest first: one may be listed again.
+    unlisted: IndexMap<String, Notices>,
     /// Indices of the endpoints, sorted by the hash of their ids: the same order on every instance.
     order: Vec<usize>,
     /// Number of endpoints in the tight partition.
@@ -225,9 +230,10 @@
         Self { domain: domain.to_owned(), ..Self::default() }
     }
 
-    /// Applies the endpoint list. Endpoints that are not listed are dropped, and one with
-    /// another start time starts afresh.
+    /// Applies the endpoint list. Endpoints that are not listed are dropped, but what they have said
+    /// of themselves is kept. One with another start time starts afresh.
     pub fn sync(&mut self, list: &[Listing]) {
+        self.keep_notices(list);
         self.endpoints.retain(|id, _| list.iter().any(|l| l.id == *id));
         for listing in list {
             match self.endpoints.get_mut(&listing.id) {
@@ -235,7 +241,9 @@
                     e.listing = listing.clone()
                 }
                 _ => {
-                    let endpoint = Endpoint::new(listing.clone());
+                    let known = self.unlisted.shift_remove(&listing.incarnation());
+                    let endpoint =
+                        Endpoint::with_notices(listing.clone(), known.unwrap_or_default());
                     self.endpoints.insert(listing.id.clone(), endpoint);
                 }
             }
@@ -244,6 +252,20 @@
         self.order.sort_by_key(|i| self.endpoints[*i].id_hash());
     }
 
+    /// Keeps what is known of the endpoints that are missing in the list.
+    fn keep_notices(&mut self, list: &[Listing]) {
+        for (id, endpoint) in &self.endpoints {
+            if list.iter().all(|l| l.id != *id)
+                && let Some(notices) = endpoint.notices()
+            {
+                self.unlisted.insert(endpoint.listing.incarnation(), notices);
+            }
+        }
+        while self.unlisted.len() > MAX_UNLISTED {
+            self.unlisted.shift_remove_index(0);
+        }
+    }
+
     /// An endpoint by id.
     pub fn get(&self, id: &str) -> Option<&Endpoint> {
         self.endpoints.get(id)
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -170,13 +170,14 @@
 
 /// Decodes the replica of a topic and passes it to the driver.
 fn publish(source: &dyn Source, shared: &Shared, topic: Topic) {
-    let entries: Vec<(String, Vec<u8>)> = {
+    let (change, entries) = {
         let replica = shared.replica(topic);
-        replica.entries().map(|(k, v)| (k.to_owned(), v.to_vec())).collect()
+        let entries: Vec<_> = replica.entries().map(|(k, v)| (k.to_owned(), v.to_vec())).collect();
+        (replica.changes(), entries)
     };
     match topic {
         Topic::Config => publish_table(source, shared, &entries),
-        Topic::Endpoints => publish_listings(source, shared, &entries),
+        Topic::Endpoints => publish_listings(source, shared, change, &entries),
         Topic::Instances => {}
     }
 }
@@ -196,7 +197,12 @@
     }
 }
 
-fn publish_listings(source: &dyn Source, shared: &Shared, entries: &[(String, Vec<u8>)]) {
+fn publish_listings(
+    source: &dyn Source,
+    shared: &Shared,
+    change: u64,
+    entries: &[(String, Vec<u8>)],
+) {
     let mut listings = Vec::new();
     for (key, value) in entries {
         match source.listing(key, value) {
@@ -204,7 +210,7 @@
             Err(why) => tracing::warn!(key, "follow: invalid entry skipped: {why}"),
         }
     }
-    shared.notify(|updates| updates.endpoints = Some(listings));
+    shared.notify(|updates| updates.put_endpoints(change, listings));
 }
 
 /// Copies topics from the seeds at the start, and later from peers that have read further than this
@@ -300,14 +306,9 @@
     max: usize,
 ) -> Copied {
     let path = if topic == Topic::Config { "config" } else { "endpoints" };
-    let url = |from| format!("http://{addr}/replica/{path}?from={from}&max={max}");
     let from = shared.replica(topic).end();
-    let batch = client.get_packed::<Batch>(&url(from));
-    let batch = match batch {
-        Ok(batch) if shared.replica(topic).lacks_kept(&batch) => client.get_packed(&url(0)),
-        batch => batch,
-    };
-    match batch {
+    let url = format!("http://{addr}/replica/{path}?from={from}&max={max}");
+    match client.get_packed::<Batch>(&url) {
         Ok(batch) => {
             let end = batch.end;
             let changed = shared.replica(topic).adopt(clock.now(), batch);
--- a/src/relay/state.rs
+++ b/src/relay/state.rs
@@ -34,6 +34,20 @@
     pub known: Option<Vec<(String, SocketAddr)>>,
     /// The process has to stop.
     pub stop: bool,
+    /// Change of the replica of the endpoints that the newest list accounts for.
+    listed: u64,
+}
+
+impl Updates {
+    /// Passes on the endpoint list as of a change of the replica, unless a later one was passed on:
+    /// several threads change the replica, and each passes on its own list.
+    pub fn put_endpoints(&mut self, change: u64, list: Vec<Listing>) {
+        if change < self.listed {
+            return;
+        }
+        self.listed = change;
+        self.endpoints = Some(list);
+    }
 }
 
 /// State shared by the threads of a process.
@@ -82,7 +96,9 @@
 
     /// Takes the pending updates.
     pub fn take_updates(&self) -> Updates {
-        std::mem::take(&mut *lock(&self.updates))
+        let mut updates = lock(&self.updates);
+        let next = Updates { listed: updates.listed, ..Updates::default() };
+        std::mem::replace(&mut *updates, next)
     }
 
     /// The replica of a topic. The instances have none: that of the endpoints is returned for them.
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use sassafrasworks::policy::attempt::{Action, FailureKind, RetryState};
 use sassafrasworks::policy::place::{
-    Balancer, Choice, Listing, Load, Profile, Requirements, Samples, Speed,
+    Balancer, Choice, Endpoint, Listing, Load, Profile, Requirements, Samples, Speed,
 };
 use sassafrasworks::policy::window::{RetryRule, RetryWindow};
 
@@ -581,3 +581,30 @@
     partly_sent_stream_breaks => (RetryState { runs: 1, streaming: true, ..FRESH }, FailureKind::Lost, true, Action::Break);
     no_time_left_no_retry => (RetryState { left: 5, ..FRESH }, FailureKind::NotRun, true, Action::Refuse);
 }
+
+/// What an endpoint has said of itself, and whether it takes work after that.
+type Notice = (fn(&mut Endpoint), fn(&Endpoint) -> bool);
+
+/// An endpoint leaves the list and comes back to it, as after an outage of the platform.
+fn assert_notice_is_kept((give, takes_work): &Notice) {
+    let mut balancer = balancer(2);
+    give(balancer.get_mut("engine-0").unwrap());
+    assert!(!takes_work(balancer.get("engine-0").unwrap()));
+    balancer.sync(&[listing(1)]);
+    balancer.sync(&[listing(0), listing(1)]);
+    assert!(!takes_work(balancer.get("engine-0").unwrap()), "the same incarnation");
+    balancer.sync(&[listing(1)]);
+    let next = Listing { started_at: 2, ..listing(0) };
+    balancer.sync(&[next, listing(1)]);
+    assert!(takes_work(balancer.get("engine-0").unwrap()), "the next incarnation");
+}
+
+cases! {
+    assert_notice_is_kept:
+    endpoint_that_is_listed_again_is_still_leaving =>
+        (|e| _ = e.mark_leaving(0), Endpoint::accepts_work);
+    endpoint_that_is_listed_again_is_still_paused =>
+        (|e| _ = e.pause(0, 5_000), |e| !e.is_paused(1_000));
+    endpoint_that_is_listed_again_is_still_stale =>
+        (Endpoint::mark_stale, Endpoint::accepts_work);
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -228,6 +228,55 @@
     assert_eq!(replica.synced_at(), 1, "a peer's copy is not a response of the platform");
 }
 
+/// A replica with the entry `b`, which has adopted the removal of `a` from a peer.
+fn removal_adopted() -> Replica {
+    let mut replica = two_entries();
+    let kept = vec!["b".to_owned()];
+    assert!(replica.adopt(1, Batch { end: 4, records: Vec::new(), kept }));
+    assert_eq!(keys(&replica), ["b"]);
+    replica
+}
+
+#[test]
+fn late_response_brings_back_no_entry_that_a_peer_has_seen_removed() {
+    // A read was held up while the instance was cut off from the platform, and a peer's copy with the
+    // removal overtook it.
+    let mut replica = removal_adopted();
+    assert!(!replica.append(2, batch(3, vec![record(2, "a", Some("1"))])));
+    assert_eq!((keys(&replica).as_slice(), replica.end()), (["b"].as_slice(), 4));
+    assert!(replica.append(3, batch(5, vec![record(4, "a", Some("2"))])));
+    assert_eq!(keys(&replica), ["b", "a"], "an entry that is written later is new");
+}
+
+#[test]
+fn late_full_read_brings_back_no_entry_that_a_peer_has_seen_removed() {
+    let mut replica = removal_adopted();
+    let late = vec![record(1, "b", Some("1")), record(2, "a", Some("1"))];
+    assert!(!replica.reset(2, batch(3, late)));
+    assert_eq!((keys(&replica).as_slice(), replica.end()), (["b"].as_slice(), 4));
+}
+
+#[test]
+fn peer_that_still_holds_a_removed_entry_does_not_bring_it_back() {
+    // The peer keeps the entry in its grace period, or has taken it back by mistake.
+    let mut replica = removal_adopted();
+    let held = Record { remaining: Some(1_500), ..record(2, "a", Some("1")) };
+    let copy = vec![held, record(4, "c", Some("1"))];
+    assert!(replica.adopt(2, Batch { end: 5, records: copy, kept: vec!["b".to_owned()] }));
+    assert_eq!(keys(&replica), ["b", "c"]);
+}
+
+#[test]
+fn older_list_is_not_passed_on_after_a_newer_one() {
+    // Two threads change the replica, and the one with the older list comes last.
+    let shared = shared_state();
+    let listed = |id: &str| vec![Listing { id: id.to_owned(), ..Listing::default() }];
+    shared.notify(|updates| updates.put_endpoints(2, listed("new")));
+    assert_eq!(shared.take_updates().endpoints, Some(listed("new")));
+    shared.notify(|updates| updates.put_endpoints(1, listed("old")));
+    assert_eq!(shared.take_updates().endpoints, None);
+}
+
 /// A platform whose second read of the endpoints fails.
 #[derive(Default)]
 struct FlakySource {
@@ -338,9 +387,11 @@
     own.append(1, batch(4, vec![record(2, "a", None), record(3, "c", Some("3"))]));
     let copy = own.export(1, peer.end());
     assert_eq!((copy.records.len(), copy.kept.as_slice()), (1, ["b".to_owned()].as_slice()));
-    assert!(!peer.lacks_kept(&copy) && Replica::new(0).lacks_kept(&copy));
     assert!(peer.adopt(1, copy));
     assert_eq!(keys(&peer), ["b", "c"]);
+    let mut new = Replica::new(0);
+    assert!(new.adopt(1, own.export(1, new.end())));
+    assert_eq!(keys(&new), ["b", "c"]);
 }
 
 #[test]
