Answer all requests before a stopping instance ends

Cause: a request that an endpoint has turned away may wait for half of its remaining time, whether the instance is stopping or not, and at the end of the grace period nothing answers what still waits or runs: the process just ends. Evidence: in the case the endpoints shed each request within 32 ms of its arrival (`sheds`), nothing is sent after that, and all connections close in the same millisecond, 0.5 s before the end of the grace period; the stream that was never sent, whose wait is 4 s from its arrival, gets its 503. Ruled out: endpoints that broke off (none ran them), and a timer that didn't fire (the waits end after the process).

Change: `policy/shutdown.rs` decides what a stopping instance still does. No stream is sent any more once callers are no longer routed to it (2.5 s), whether it is new, waits, or is tried again; it is refused at once, `Retry-After: 0.010`. The rest of a stream that has begun may still come from another endpoint. 150 ms before the process ends, each request without a response gets its answer: 503 if no byte of it was sent, else 502. Both answers go through `end_request`, which quarantine uses too. The line `stopping` states the callers, the waiting requests and the end. The same cause on related paths: first waits, waits of a retry, sends from the queue, resumed streams, requests that run, connections being opened. In sassafras-entry `Entry::shutdown` waits for requests in flight up to `drain`; read, not changed.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -11,6 +11,7 @@
 pub mod queue;
 pub mod report;
 pub mod share;
+pub mod shutdown;
 pub mod sound;
 pub mod suspect;
 pub mod window;
--- /dev/null
+++ b/src/policy/shutdown.rs
@@ -0,0 +1,69 @@
+//! What a stopping instance still does for requests, so that each has its answer before the process
+//! ends.
+//!
+//! It is designed for stops under load: requests that wait for a full endpoint, that are sent again,
+//! or that arrive shortly before the end.
+
+use crate::adapter::clock::Millis;
+
+/// Time after the stop request during which idle connections stay open and new streams are sent: the
+/// platform notices the stop after two readiness checks, a second apart.
+const DELAY_MS: u64 = 2_500;
+/// Minimum time from the stop request to the end of the process.
+const MIN_STOP_MS: u64 = 3_500;
+/// Time before the end of the grace period at which the process ends in any case.
+const END_MARGIN_MS: u64 = 500;
+/// Time before that end at which the requests in flight get their final answers.
+const ANSWER_MARGIN_MS: u64 = 150;
+
+closed! {
+    /// What would be sent to an endpoint.
+    pub enum Work {
+        /// A request whose response is passed on as a whole.
+        Whole,
+        /// A request for a stream of which the caller has nothing yet.
+        Stream,
+        /// A request for the rest of a stream that the caller has begun to receive.
+        Rest,
+    }
+}
+
+/// The stop of an instance.
+#[derive(Debug, Clone, Copy)]
+pub struct Shutdown {
+    requested: Millis,
+    grace: u64,
+}
+
+impl Shutdown {
+    /// A stop requested at `now`, for a process that is killed `grace` milliseconds later.
+    pub fn new(now: Millis, grace: u64) -> Self {
+        Self { requested: now, grace }
+    }
+
+    /// True once callers are no longer routed to this instance: it closes idle connections and sends
+    /// no new streams.
+    pub fn delay_passed(&self, now: Millis) -> bool {
+        now >= self.requested + DELAY_MS
+    }
+
+    /// Time at which the process ends in any case.
+    pub fn ends_at(&self) -> Millis {
+        self.requested + self.grace.saturating_sub(END_MARGIN_MS)
+    }
+
+    /// Time at which requests without a response get their final answers.
+    pub fn answers_at(&self) -> Millis {
+        self.ends_at().saturating_sub(ANSWER_MARGIN_MS)
+    }
+
+    /// True if a request is still sent to an endpoint at `now`.
+    pub fn may_send(&self, now: Millis, work: Work) -> bool {
+        !self.delay_passed(now) || work != Work::Stream
+    }
+
+    /// True if the process may end at `now`; `idle` is true while no request is in flight.
+    pub fn may_end(&self, now: Millis, idle: bool) -> bool {
+        now >= self.ends_at() || (idle && now >= self.requested + MIN_STOP_MS)
+    }
+}
--- a/src/relay/driver/callers.rs
+++ b/src/relay/driver/callers.rs
@@ -19,13 +19,6 @@
 const LINGER_MS: u64 = 1_000;
 /// Maximum bytes buffered for a caller that doesn't read; beyond that it is disconnected.
 const MAX_UNREAD_BYTES: usize = 4 << 20;
-/// Time after the stop request during which idle connections stay open and new streams are
-/// accepted: the platform notices the stop after two readiness checks, a second apart.
-pub(super) const STOP_DELAY_MS: u64 = 2_500;
-/// Minimum time from the stop request to the end of the process.
-const MIN_STOP_MS: u64 = 3_500;
-/// Time before the end of the grace period at which the process ends in any case.
-const GRACE_MARGIN_MS: u64 = 500;
 
 impl Driver {
     /// Accepts pending connections of a listener.
@@ -237,7 +230,7 @@
     }
 
     /// Shuts down the write side and gives the caller time to read the response.
-    fn linger(&mut self, index: usize, now: Millis) {
+    pub(super) fn linger(&mut self, index: usize, now: Millis) {
         let caller = &mut self.callers[index];
         if caller.linger_until.is_some() {
             return;
@@ -282,7 +275,7 @@
 
     /// True if the connection is closed after the current response.
     pub(super) fn should_close(&self, index: usize) -> bool {
-        self.stopping_since.is_some() || self.callers.get(index).is_none_or(|c| c.closing)
+        self.shutdown.is_some() || self.callers.get(index).is_none_or(|c| c.closing)
     }
 
     /// Writes the last bytes of a response and continues with the next request.
@@ -295,36 +288,4 @@
             self.read_caller(index);
         }
     }
-
-    /// Closes idle connections of callers; called once the platform sends no more requests.
-    pub(super) fn close_idle(&mut self) {
-        let idle = |c: &Caller| {
-            c.listener == ListenerKind::Front && c.is_idle() && c.linger_until.is_none()
-        };
-        let all = self.callers.iter().filter(|(_, c)| idle(c));
-        let all: Vec<usize> = all.map(|(i, _)| i).collect();
-        let now = self.clock.now();
-        for index in all {
-            self.linger(index, now);
-        }
-    }
-
-    /// True if the process has been stopping for [`STOP_DELAY_MS`] and accepts no new streams.
-    pub(super) fn stop_delay_passed(&self) -> bool {
-        self.stopping_since.is_some_and(|at| self.clock.now() >= at + STOP_DELAY_MS)
-    }
-
-    /// True if the process is stopping, and either no request is in flight after
-    /// [`MIN_STOP_MS`] or the grace period ends.
-    pub(super) fn finished(&mut self) -> bool {
-        let Some(since) = self.stopping_since else { return false };
-        let passed = self.clock.now().saturating_sub(since);
-        if passed + GRACE_MARGIN_MS >= self.setup.grace {
-            return true;
-        }
-        let idle = |c: &Caller| {
-            c.listener == ListenerKind::Ready || c.is_idle() || c.linger_until.is_some()
-        };
-        passed >= MIN_STOP_MS && self.callers.iter().all(|(_, c)| idle(c))
-    }
 }
--- a/src/relay/driver/crashes.rs
+++ b/src/relay/driver/crashes.rs
@@ -192,21 +192,7 @@
             exchanges.filter(|(_, e)| !e.streaming && self.is_quarantined(now, &e.contents));
         let found: Vec<usize> = found.map(|(i, _)| i).collect();
         for caller in found {
-            self.end_quarantined_request(caller);
-        }
-    }
-
-    /// Refuses a request with a quarantined content. Where it may have run, its outcome is unknown.
-    pub(super) fn end_quarantined_request(&mut self, caller: usize) {
-        let Some(exchange) = self.callers.get(caller).and_then(|c| c.exchange.as_ref()) else {
-            return;
-        };
-        let may_have_run = exchange.runs > 0 || exchange.link.is_some();
-        self.release_resources(caller);
-        if may_have_run {
-            self.fail(caller, 502, RefuseReason::Quarantined.message());
-        } else {
-            self.refuse(caller, RefuseReason::Quarantined);
+            self.end_request(caller, RefuseReason::Quarantined);
         }
     }
 
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -17,9 +17,7 @@
 use crate::relay::table::{Route, RoutingTable, Workspace};
 use crate::relay::timers::Owner;
 
-/// `Retry-After` of a stopping instance: another instance serves the retry, so it need not wait.
-const RETRY_ELSEWHERE_MS: u64 = 10;
-/// `Retry-After` of other refusals.
+/// `Retry-After` of a request that is refused before it has a route.
 const RETRY_DEFAULT_MS: u64 = 500;
 
 /// Result of [`Driver::try_send`].
@@ -57,14 +55,6 @@
         }
     }
 
-    /// Time after which the caller may retry, in milliseconds.
-    fn retry_after(self) -> u64 {
-        match self {
-            Self::Stopping => RETRY_ELSEWHERE_MS,
-            _ => RETRY_DEFAULT_MS,
-        }
-    }
-
     /// Body of the response, and label of the outcome in metrics.
     pub(super) fn message(self) -> &'static str {
         match self {
@@ -97,7 +87,7 @@
                 let version = self.table.version;
                 tracing::info!(id, version, "relay: refused: {}", reason.message());
                 self.count_outcome("", reason.message());
-                let retry = (reason.status() == 503).then(|| reason.retry_after());
+                let retry = (reason.status() == 503).then_some(RETRY_DEFAULT_MS);
                 self.respond(index, reason.status(), retry, reason.message());
             }
         }
@@ -117,9 +107,6 @@
         if head.count(names.attempt) != 1 || head.count("host") != 1 {
             return Err(RefuseReason::NoAttempt);
         }
-        if route.kind.is_stream() && self.stop_delay_passed() {
-            return Err(RefuseReason::Stopping);
-        }
         let service = route.pick_service(rand::random()).ok_or(RefuseReason::NoService)?;
         let now = self.clock.now();
         let exchange = Exchange::new(names, request, route, service, workspace, table.version);
@@ -143,9 +130,12 @@
     /// Sends a request to an endpoint, or queues it.
     pub(super) fn dispatch(&mut self, index: usize) {
         let now = self.clock.now();
-        let exchange = self.callers[index].exchange.as_ref();
-        if exchange.is_some_and(|e| self.is_quarantined(now, &e.contents)) {
-            return self.end_quarantined_request(index);
+        let Some(exchange) = self.callers[index].exchange.as_ref() else { return };
+        if self.is_quarantined(now, &exchange.contents) {
+            return self.end_request(index, RefuseReason::Quarantined);
+        }
+        if !self.stop_allows(exchange) {
+            return self.end_request(index, RefuseReason::Stopping);
         }
         if self.must_wait(index) {
             return self.enqueue(index, "behind others", Load::default());
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -7,6 +7,7 @@
 mod links;
 mod outcome;
 mod peers;
+mod stopping;
 mod turn;
 
 use std::io;
@@ -35,6 +36,7 @@
 use crate::adapter::clock::{Clock, Millis};
 use crate::policy::place::Balancer;
 use crate::policy::report::Reports;
+use crate::policy::shutdown::Shutdown;
 use crate::policy::suspect::{Content, Suspects};
 use crate::policy::window::{RetryRule, RetryWindow};
 
@@ -138,8 +140,8 @@
     started_at: u64,
     next_heartbeat: Millis,
     last_heartbeat: Millis,
-    /// Time of the stop request, once the process is stopping.
-    stopping_since: Option<Millis>,
+    /// Set once the process is stopping.
+    shutdown: Option<Shutdown>,
     buffer: Vec<u8>,
     /// Sockets that may have more to read than one turn takes: the poller reports them only once.
     unread: IndexSet<Token>,
@@ -200,7 +202,7 @@
             started_at: now,
             next_heartbeat: now + gossip::INTERVAL,
             last_heartbeat: now,
-            stopping_since: None,
+            shutdown: None,
             buffer: vec![0; MIN_BUFFER_BYTES.max(gossip::MAX_DATAGRAM)],
             unread: IndexSet::new(),
             turn: Turn::default(),
@@ -241,11 +243,9 @@
             self.check_refused();
             self.end_quarantined();
             self.drain_queue(self.clock.now());
-            if self.stop_delay_passed() {
-                self.close_idle();
-            }
+            let ended = self.advance_stop();
             self.finish_turn(start);
-            if self.finished() {
+            if ended {
                 return Ok(());
             }
         }
@@ -285,7 +285,7 @@
                 Owner::Gossip => self.send_heartbeats(now),
                 Owner::Peers => self.apply_peer_loads(now),
                 Owner::Digest => self.send_digests(now),
-                Owner::Queue => {}
+                Owner::Queue | Owner::Stop => {}
             }
         }
     }
@@ -296,7 +296,7 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.stopping_since.is_none() && self.has_listings && self.table.version > 0
+        self.shutdown.is_none() && self.has_listings && self.table.version > 0
     }
 }
 
--- a/src/relay/driver/outcome.rs
+++ b/src/relay/driver/outcome.rs
@@ -9,6 +9,8 @@
 
 /// Time for which a stale incarnation is reported to peers.
 pub(super) const STALE_REPORT_MS: u64 = 5_000;
+/// `Retry-After` of a stopping instance: another instance serves the retry, so it need not wait.
+const RETRY_ELSEWHERE_MS: u64 = 10;
 /// `Retry-After` of a refused request: random between these fractions of its route's target.
 const RETRY_AFTER_SPREAD: (f64, f64) = (0.25, 0.75);
 /// Minimum `Retry-After` of a refused request.
@@ -242,7 +244,7 @@
     }
 
     /// Answers that the request has not run. `Retry-After` is a random fraction of the route's
-    /// target. A stream that has begun is broken off instead.
+    /// target, unless another instance can serve the request at once. A stream that has begun is broken off instead.
     pub(super) fn refuse(&mut self, caller: usize, reason: RefuseReason) {
         if self.stream_started(caller) {
             return self.abort_response(caller, reason.message());
@@ -250,13 +252,30 @@
         let Some(exchange) = self.callers.get(caller).and_then(|c| c.exchange.as_ref()) else {
             return;
         };
-        let target = exchange.route.target_latency as f64;
-        let fraction = rand::random_range(RETRY_AFTER_SPREAD.0..RETRY_AFTER_SPREAD.1);
-        let retry = (target * fraction).max(MIN_RETRY_AFTER_MS) as u64;
+        let retry = match reason {
+            RefuseReason::Stopping => RETRY_ELSEWHERE_MS,
+            _ => spread_retry(exchange.route.target_latency),
+        };
         self.record_outcome(caller, reason.message());
         self.respond(caller, reason.status(), Some(retry), reason.message());
     }
 
+    /// Ends a request that waits or is at an endpoint: refuses it or, where it may have run, answers
+    /// that its outcome is unknown.
+    pub(super) fn end_request(&mut self, caller: usize, reason: RefuseReason) {
+        let Some(exchange) = self.callers.get(caller).and_then(|c| c.exchange.as_ref()) else {
+            return;
+        };
+        let link = exchange.link.and_then(|l| self.links.get(l));
+        let may_have_run = exchange.runs > 0 || link.is_some_and(|l| l.wrote);
+        self.release_resources(caller);
+        if may_have_run {
+            self.fail(caller, 502, reason.message());
+        } else {
+            self.refuse(caller, reason);
+        }
+    }
+
     /// Answers with an error; the request may have run. A stream that has begun is broken off instead.
     pub(super) fn fail(&mut self, caller: usize, status: u16, why: &'static str) {
         if self.stream_started(caller) {
@@ -323,3 +342,9 @@
         }
     }
 }
+
+/// Random `Retry-After` of a refused request, in milliseconds, for a route's target.
+fn spread_retry(target: u64) -> u64 {
+    let fraction = rand::random_range(RETRY_AFTER_SPREAD.0..RETRY_AFTER_SPREAD.1);
+    (target as f64 * fraction).max(MIN_RETRY_AFTER_MS) as u64
+}
--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -41,9 +41,8 @@
             let others: Vec<_> = known.into_iter().filter(|(name, _)| name != me).collect();
             self.peers.add(&others);
         }
-        if updates.stop && self.stopping_since.is_none() {
-            tracing::info!(requests = self.callers.len(), "relay: stopping");
-            self.stopping_since = Some(self.clock.now());
+        if updates.stop {
+            self.start_stop();
         }
     }
 
--- a/src/relay/timers.rs
+++ b/src/relay/timers.rs
@@ -19,6 +19,8 @@
     Peers,
     /// Sending queued requests.
     Queue,
+    /// Steps of a graceful stop.
+    Stop,
 }
 
 /// All timers in order of time.
