Refuse requests that can't end before a stopping instance does

After the stop delay only streams were refused, so an order that is complete shortly before the end was sent to an endpoint. On the code before, order_, lookup_ and stream_late_in_a_stop_.. fail. Most late requests met something else: a new connection was closed as idle in the turn that accepted it, before its request was read, and the request was discarded without an answer.

That holds for first sends, the queue and retries alike. A connection is closed as idle only after 200 ms without use, so that a late request is refused rather than dropped, or served if it can end in time.

Tests, red before: `*_late_in_a_stop_*` (4) and stop_refuses_a_request_that_waits_.. in platform/tests/paused.rs.

--- a/src/policy/shutdown.rs
+++ b/src/policy/shutdown.rs
@@ -57,9 +57,17 @@
         self.ends_at().saturating_sub(ANSWER_MARGIN_MS)
     }
 
-    /// True if a request is still sent to an endpoint at `now`.
-    pub fn may_send(&self, now: Millis, work: Work) -> bool {
-        !self.delay_passed(now) || work != Work::Stream
+    /// True if a request with this deadline is still sent to an endpoint at `now`. One whose deadline
+    /// is later than the final answers might be cut off.
+    pub fn may_send(&self, now: Millis, work: Work, deadline: Millis) -> bool {
+        if !self.delay_passed(now) {
+            return true;
+        }
+        match work {
+            Work::Whole => deadline <= self.answers_at(),
+            Work::Stream => false,
+            Work::Rest => true,
+        }
     }
 
     /// True if the process may end at `now`; `idle` is true while no request is in flight.
--- a/src/relay/driver/stopping.rs
+++ b/src/relay/driver/stopping.rs
@@ -8,6 +8,10 @@
 use crate::relay::exchange::Exchange;
 use crate::relay::timers::Owner;
 
+/// Time for which a connection has been idle before a stopping instance closes it, in milliseconds: the
+/// request on a new one is about to arrive, and has an answer coming.
+const IDLE_CLOSE_MS: u64 = 200;
+
 impl Driver {
     /// Starts the stop of the process, unless it has started.
     pub(super) fn start_stop(&mut self) {
@@ -62,9 +66,9 @@
 
     /// Closes idle connections of callers; called once the platform sends no more requests.
     fn close_idle(&mut self, now: Millis) {
-        let closes = |c: &Caller| {
-            c.listener == ListenerKind::Front && c.is_idle() && c.linger_until.is_none()
-        };
+        let unused = |c: &Caller| c.is_idle() && c.last_active + IDLE_CLOSE_MS <= now;
+        let closes =
+            |c: &Caller| c.listener == ListenerKind::Front && unused(c) && c.linger_until.is_none();
         let all = self.callers.iter().filter(|(_, c)| closes(c));
         let all: Vec<usize> = all.map(|(i, _)| i).collect();
         for index in all {
@@ -79,7 +83,7 @@
         (true, false) => Work::Stream,
         (true, true) => Work::Rest,
     };
-    stop.may_send(now, work)
+    stop.may_send(now, work, exchange.deadline)
 }
 
 /// True if a connection doesn't hold up the end of the process.
