Set no timer for a caller that a write has found to have left

Cause: `advance_caller` writes `100 Continue`; the write finds the connection broken and drops the caller; `set_caller_timer` then indexed the slab with its index ("invalid key", driver/callers.rs). Ruled out: the abort itself, which others survive.

Change: `set_caller_timer` and `caller_deadline` go by a lookup that may find nothing. Read for the same cause: all that follows a write in the driver's files (forward_events, respond, end_request, drain_queue, retry); each looks the caller up again or returns.

--- a/src/relay/driver/callers.rs
+++ b/src/relay/driver/callers.rs
@@ -139,16 +139,17 @@
         self.respond(index, status, None, "");
     }
 
-    /// Sets a timer for the next deadline of the connection.
+    /// Sets a timer for the next deadline of the connection, if it is still there: a write before may
+    /// have found that the caller has left.
     pub(super) fn set_caller_timer(&mut self, index: usize) {
-        let at = self.caller_deadline(index);
-        let serial = self.callers[index].serial;
-        self.timers.set(at, Owner::Caller(index, serial));
+        let Some(caller) = self.callers.get(index) else { return };
+        let at = self.caller_deadline(caller);
+        self.timers.set(at, Owner::Caller(index, caller.serial));
     }
 
     /// Time of the next timeout of a connection: linger, queue wait, request, read or idle.
-    fn caller_deadline(&self, index: usize) -> Millis {
-        let (caller, limits) = (&self.callers[index], self.table.limits);
+    fn caller_deadline(&self, caller: &Caller) -> Millis {
+        let limits = self.table.limits;
         if let Some(at) = caller.linger_until {
             return at;
         }
@@ -167,11 +168,9 @@
 
     /// Handles a timer of a connection; sets it again if the deadline has moved.
     pub(super) fn caller_timer_fired(&mut self, index: usize, serial: u64) {
-        if self.callers.get(index).is_none_or(|c| c.serial != serial) {
-            return;
-        }
+        let Some(caller) = self.callers.get(index).filter(|c| c.serial == serial) else { return };
         let now = self.clock.now();
-        let at = self.caller_deadline(index);
+        let at = self.caller_deadline(caller);
         if at > now {
             self.timers.set(at, Owner::Caller(index, serial));
             return;
