Handle pipelined requests one in a turn

Cause: `finish_response` read the connection on and handled the next request, which was refused and came back to `finish_response`: one level of the stack for each request. Change: the next request is handled in the next turn, by the list of connections with more to read; a read for each response falls away. A connection with input that isn't handled yet is not idle.

--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -90,7 +90,8 @@
 
     /// True when there is no request, not even a partial one, and nothing left to write.
     pub(super) fn is_idle(&self) -> bool {
-        self.exchange.is_none() && self.request_start.is_none() && self.out.is_empty()
+        let reading = self.request_start.is_some() || !self.input.is_empty();
+        self.exchange.is_none() && !reading && self.out.is_empty()
     }
 
     /// Maximum bytes to read now.
--- a/src/relay/driver/callers.rs
+++ b/src/relay/driver/callers.rs
@@ -277,14 +277,17 @@
         self.shutdown.is_some() || self.callers.get(index).is_none_or(|c| c.closing)
     }
 
-    /// Writes the last bytes of a response and continues with the next request.
+    /// Writes the last bytes of a response. The next request, if it has arrived, is handled in the next
+    /// turn, so that a caller with many requests doesn't hold up the others.
     pub(super) fn finish_response(&mut self, index: usize, bytes: &[u8], close: bool) {
         let Some(caller) = self.callers.get_mut(index) else { return };
         caller.exchange = None;
         caller.closing |= close;
         self.write(index, bytes);
-        if self.callers.get(index).is_some_and(|c| !c.closing) {
-            self.read_caller(index);
+        let Some(caller) = self.callers.get(index).filter(|c| !c.closing) else { return };
+        if !caller.input.is_empty() {
+            self.unread.insert(caller_token(index));
         }
+        self.set_caller_timer(index);
     }
 }
