Bound the memory of the buffers of all connections

Cause: a response that isn't a stream of events is held back up to 16 MB, and nothing bounded the sum. Ruled out: unread bytes in the sockets (read at most a turn later), and streams (1 MB for an event).

Change: a quarter of `limits.memory-mb` is for the buffers of connections (driver/buffers.rs). They are measured after each MB read; past the bound the connection with the largest ones is closed until the rest fits, so a small response is never the victim of a large one. An attempt that ends so counts as lost (`evicted`): it is retried elsewhere or answered 502. Metrics `relay_buffered_bytes`, `relay_buffer_evictions_total`; a log line each.

--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -94,6 +94,13 @@
         self.exchange.is_none() && !reading && self.out.is_empty()
     }
 
+    /// Memory of its buffers, in bytes.
+    pub(super) fn buffered(&self) -> usize {
+        let partial = self.partial.as_ref().map_or(0, |p| p.body.capacity());
+        let exchange = self.exchange.as_ref().map_or(0, |e| e.buffered());
+        self.input.capacity() + self.out.capacity() + partial + exchange
+    }
+
     /// Maximum bytes to read now.
     pub(super) fn read_budget(&self) -> usize {
         if self.exchange.is_none() {
--- a/src/relay/driver/callers.rs
+++ b/src/relay/driver/callers.rs
@@ -189,7 +189,7 @@
     }
 
     /// Cancels the request of a caller that has disconnected, and drops the connection.
-    fn abort_caller(&mut self, index: usize) {
+    pub(super) fn abort_caller(&mut self, index: usize) {
         self.callers[index].eof = true;
         self.cancel(index);
         self.drop_caller(index);
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -1,6 +1,7 @@
 //! Event loop that owns all connections of an instance: callers, endpoints, and datagrams of peers.
 
 mod answers;
+mod buffers;
 mod callers;
 mod crashes;
 mod dispatch;
@@ -76,6 +77,8 @@
     pub grace: u64,
     /// Retry budget of the fleet for one service.
     pub retries: RetryRule,
+    /// Maximum bytes that the buffers of all connections may hold.
+    pub buffers: usize,
     /// Header names.
     pub names: HeaderNames,
 }
@@ -146,6 +149,8 @@
     /// Sockets that may have more to read than one turn takes: the poller reports them only once.
     unread: IndexSet<Token>,
     turn: Turn,
+    /// Bytes read since the buffers were last measured.
+    unmeasured: usize,
 }
 
 impl Driver {
@@ -206,6 +211,7 @@
             buffer: vec![0; MIN_BUFFER_BYTES.max(gossip::MAX_DATAGRAM)],
             unread: IndexSet::new(),
             turn: Turn::default(),
+            unmeasured: 0,
         })
     }
 
@@ -243,6 +249,7 @@
             self.check_refused();
             self.end_quarantined();
             self.drain_queue(self.clock.now());
+            self.limit_buffers();
             let ended = self.advance_stop();
             self.finish_turn(start);
             if ended {
--- a/src/relay/driver/outcome.rs
+++ b/src/relay/driver/outcome.rs
@@ -31,6 +31,8 @@
     ConnectionLost,
     /// The response is malformed or too large.
     InvalidResponse,
+    /// The response was given up, as the buffers of all connections took too much memory.
+    Evicted,
 }
 
 impl Cause {
@@ -43,6 +45,7 @@
             Self::Error => "error",
             Self::ConnectionLost => "broken",
             Self::InvalidResponse => "garbled",
+            Self::Evicted => "evicted",
         }
     }
 }
@@ -166,7 +169,7 @@
             }
             Cause::ConnectFailed => e.record_failure(now, true),
             Cause::Full => false,
-            Cause::Error | Cause::ConnectionLost | Cause::InvalidResponse => {
+            Cause::Error | Cause::ConnectionLost | Cause::InvalidResponse | Cause::Evicted => {
                 e.record_failure(now, false)
             }
         };
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -118,6 +118,11 @@
         }
     }
 
+    /// Memory of its buffers, in bytes.
+    pub(super) fn buffered(&self) -> usize {
+        self.body.capacity() + self.splitter.buffered()
+    }
+
     /// The contents of its shared prompt segments.
     pub(super) fn segments(&self) -> &[Content] {
         &self.contents[1..]
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -126,6 +126,11 @@
         self.skipped.1 <= MAX_SKIPPED_BYTES
     }
 
+    /// Memory of its buffers, in bytes.
+    pub(super) fn buffered(&self) -> usize {
+        self.out.capacity() + self.input.capacity() + self.body.capacity()
+    }
+
     /// Discards the state of the response being read.
     pub(super) fn clear(&mut self) {
         self.head = None;
--- a/src/relay/sse.rs
+++ b/src/relay/sse.rs
@@ -41,6 +41,11 @@
         self.passed
     }
 
+    /// Memory of its buffer, in bytes.
+    pub fn buffered(&self) -> usize {
+        self.pending.capacity()
+    }
+
     /// True when an incomplete event is buffered.
     pub fn has_partial(&self) -> bool {
         !self.pending.is_empty()
--- a/src/relay/stats.rs
+++ b/src/relay/stats.rs
@@ -89,6 +89,10 @@
     pub reports_due: Gauge,
     /// Duration of the turns of the event loop, in seconds.
     pub turns: Histogram,
+    /// Memory of the buffers of all connections when it was last measured, in bytes.
+    pub buffered: Gauge,
+    /// Number of connections closed because the buffers of all took too much memory.
+    pub evictions: Counter,
     /// Bytes read from callers and endpoints.
     pub read_bytes: Family<ReadLabels, Counter>,
 }
@@ -121,6 +125,8 @@
             suspects: Gauge::default(),
             reports_due: Gauge::default(),
             turns: latency(),
+            buffered: Gauge::default(),
+            evictions: Counter::default(),
             read_bytes: Family::default(),
         };
         metrics.register();
@@ -163,6 +169,12 @@
             self.reports_due.clone(),
         );
         r.register("turn_seconds", "duration of turns of the event loop", self.turns.clone());
+        r.register("buffered_bytes", "memory of the buffers of connections", self.buffered.clone());
+        r.register(
+            "buffer_evictions",
+            "connections closed to free the memory of their buffers",
+            self.evictions.clone(),
+        );
         r.register("read_bytes", "bytes read by kind of connection", self.read_bytes.clone());
     }
 
