Let an endpoint's report of its load fade

Cause: the load that an endpoint last reported blocks it at twice its slots, and only a further response changes it; an instance with nothing in flight there sends nothing, so it gets none. Ruled out: ejection (it ends by time) and peers' loads (they are replaced by each heartbeat).

Change: a report fades over a second, in the check for room and in the cost. Other beliefs that only traffic can change: ejections and pauses end by time; a quarantine has its end; learned speed takes any sample; stale and leaving hold for an incarnation, for good.

Test: endpoint_that_was_full_is_tried_again_without_a_further_response (tests/place.rs); without the fading it fails, the endpoint stays full.

--- a/src/policy/place/endpoint.rs
+++ b/src/policy/place/endpoint.rs
@@ -22,6 +22,8 @@
 const MAX_EJECT_MS: u64 = 4_000;
 /// Time for which an endpoint that says it is leaving is still used where no other is left.
 const LEAVING_USE_MS: u64 = 1_000;
+/// Time in which an endpoint's report of its load fades.
+const REPORT_FADE_MS: u64 = 1_000;
 /// Maximum pause that an endpoint may ask for.
 const MAX_PAUSE_MS: u64 = 120_000;
 
@@ -124,8 +126,8 @@
     pub peers: Load,
     /// Hash of the endpoint's id.
     id_hash: u64,
-    /// Running and waiting requests as reported by the endpoint itself.
-    reported: u32,
+    /// Running and waiting requests as last reported by the endpoint itself, and when.
+    reported: (u32, Millis),
     notices: Notices,
     /// Moving average of failures, 0 to 1.
     failure_rate: f64,
@@ -164,14 +166,17 @@
         total
     }
 
-    /// Running and waiting requests as reported by the endpoint itself.
-    pub fn reported(&self) -> u32 {
-        self.reported
+    /// Running and waiting requests as last reported by the endpoint itself. The report fades, since
+    /// the requests in it end and only a further response brings another.
+    pub fn reported(&self, now: Millis) -> f64 {
+        let (requests, at) = self.reported;
+        let age = now.saturating_sub(at).min(REPORT_FADE_MS);
+        f64::from(requests) * (1.0 - age as f64 / REPORT_FADE_MS as f64)
     }
 
     /// Stores the endpoint's own report of running and waiting requests.
-    pub fn report(&mut self, running: u32, waiting: u32) {
-        self.reported = running + waiting;
+    pub fn report(&mut self, now: Millis, running: u32, waiting: u32) {
+        self.reported = (running.saturating_add(waiting), now);
     }
 
     /// True unless it is leaving or stale.
--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -421,7 +421,7 @@
                 last = last.max(block);
                 continue;
             }
-            let cost = self.cost(e, uncached, home == Some(i));
+            let cost = self.cost(now, e, uncached, home == Some(i));
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, i));
             }
@@ -499,7 +499,7 @@
         let total = e.total();
         if self.profile.batch == 0 {
             let slots = f64::from(e.listing.slots.max(1));
-            let full = f64::from(total.running.max(e.reported())) >= slots * PLAIN_DEPTH;
+            let full = f64::from(total.running).max(e.reported(now)) >= slots * PLAIN_DEPTH;
             return full.then_some(Block::Batch);
         }
         let uncached = uncached.total();
@@ -528,11 +528,11 @@
     }
 
     /// Cost of placing a request on an endpoint, in prompt tokens; in requests for a plain service.
-    fn cost(&self, e: &Endpoint, uncached: Uncached, home: bool) -> f64 {
+    fn cost(&self, now: Millis, e: &Endpoint, uncached: Uncached, home: bool) -> f64 {
         let total = e.total();
         if self.profile.batch == 0 {
             let remote = if e.listing.domain == self.domain { 0.0 } else { REMOTE_COST };
-            return f64::from(total.running.max(e.reported())) + remote;
+            return f64::from(total.running).max(e.reported(now)) + remote;
         }
         let mut cost = f64::from(total.prefill) + RUNNING_COST * f64::from(total.running);
         cost += f64::from(uncached.own) + RECOMPUTE_COST * f64::from(uncached.shared);
--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -276,8 +276,9 @@
     fn record_load(&mut self, index: usize, load: Option<(u32, u32)>) {
         let (Some(link), Some((running, waiting))) = (self.links.get(index), load) else { return };
         let (service, endpoint) = (link.service.clone(), link.endpoint.clone());
+        let now = self.clock.now();
         if let Some(e) = self.pool(&service).balancer.get_mut(&endpoint) {
-            e.report(running, waiting);
+            e.report(now, running, waiting);
         }
     }
 
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -608,3 +608,15 @@
     endpoint_that_is_listed_again_is_still_stale =>
         (Endpoint::mark_stale, Endpoint::accepts_work);
 }
+
+#[test]
+fn endpoint_that_was_full_is_tried_again_without_a_further_response() {
+    // lombada-ne, bursts and endpoints that hang: an instance without requests in flight gets no
+    // response, so that a last report of full endpoints shut the service out to the end of the day.
+    let mut balancer = Balancer::new("recife");
+    balancer.sync(&[Listing { slots: 6, ..listing(0) }]);
+    balancer.get_mut("engine-0").unwrap().report(0, 6, 12);
+    let needs = Requirements::default();
+    assert!(matches!(balancer.choose(0, &needs), Choice::Full(..)));
+    assert!(matches!(balancer.choose(1_000, &needs), Choice::Chosen(..)));
+}
