Free unused buffers before closing connections for memory

Cause: the bound on all buffers counts what they hold in reserve. 900 kept connections that have sent bodies of 60 KB keep 54 MB, over the bound of the smallest machine, so idle connections and, with them, running requests were closed.

Change: past the bound, unused memory of all buffers is freed first. Test, red before: kept_connections_outlive_the_buffers_of_their_requests (platform/tests/endless.rs).

--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -101,6 +101,12 @@
         self.input.capacity() + self.out.capacity() + partial + exchange
     }
 
+    /// Frees the unused memory of its buffers.
+    pub(super) fn shrink(&mut self) {
+        self.input.shrink_to_fit();
+        self.out.shrink_to_fit();
+    }
+
     /// Maximum bytes to read now.
     pub(super) fn read_budget(&self) -> usize {
         if self.exchange.is_none() {
--- a/src/relay/driver/buffers.rs
+++ b/src/relay/driver/buffers.rs
@@ -17,8 +17,8 @@
 }
 
 impl Driver {
-    /// Measures the buffers after each [`MEASURE_BYTES`] read, and closes the connections with the
-    /// largest ones while all together take too much memory.
+    /// Measures the buffers after each [`MEASURE_BYTES`] read. While all together take too much memory,
+    /// frees what is unused, then closes the connections with the largest ones.
     pub(super) fn limit_buffers(&mut self) {
         self.unmeasured += self.turn.caller_bytes + self.turn.endpoint_bytes;
         if self.unmeasured < MEASURE_BYTES {
@@ -26,6 +26,10 @@
         }
         self.unmeasured = 0;
         let mut total = self.buffered();
+        if total > self.setup.buffers {
+            self.shrink_buffers();
+            total = self.buffered();
+        }
         while total > self.setup.buffers {
             let Some((bytes, largest)) = self.largest_buffers() else { break };
             tracing::warn!(
@@ -47,6 +51,12 @@
         links + self.callers.iter().map(|(_, c)| c.buffered()).sum::<usize>()
     }
 
+    /// Frees what the buffers keep from earlier requests.
+    fn shrink_buffers(&mut self) {
+        self.links.iter_mut().for_each(|(_, l)| l.shrink());
+        self.callers.iter_mut().for_each(|(_, c)| c.shrink());
+    }
+
     fn largest_buffers(&self) -> Option<(usize, Largest)> {
         let links = self.links.iter().map(|(i, l)| (l.buffered(), Largest::Link(i)));
         links.chain(self.callers.iter().map(|(i, c)| (c.buffered(), Largest::Caller(i)))).max()
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -131,6 +131,13 @@
         self.out.capacity() + self.input.capacity() + self.body.capacity()
     }
 
+    /// Frees the unused memory of its buffers.
+    pub(super) fn shrink(&mut self) {
+        self.out.shrink_to_fit();
+        self.input.shrink_to_fit();
+        self.body.shrink_to_fit();
+    }
+
     /// Discards the state of the response being read.
     pub(super) fn clear(&mut self) {
         self.head = None;
