--- a/src/relay/driver/outcome.rs
+++ b/src/relay/driver/outcome.rs
@@ -247,7 +247,8 @@
     }
 
     /// Answers that the request has not run. `Retry-After` is a random fraction of the route's
-    /// target, unless another instance can serve the request at once. A stream that has begun is broken off instead.
+    /// target, unless another instance can serve the request at once. A stream that has begun is
+    /// broken off instead.
     pub(super) fn refuse(&mut self, caller: usize, reason: RefuseReason) {
         if self.stream_started(caller) {
             return self.abort_response(caller, reason.message());
