Entry: an endpoint counts as polled only once its pool has a report

Cause, traced with a new line in the log: two of the first three crashes counted "against no content, its incarnation is unknown". The list is read and the engines are polled before the first configuration is in force; there is no pool then to take the reports, but the engines counted as polled, so a request didn't wait for the first report. Ruled out: a crash counted twice under one incarnation, a revoked crash (neither in the logs), changes to `policy/suspect.rs`.

Change: `poll_once` says whether the pool has the report. Log lines: each crash that counts, and one that can't.

Test, red before (4 crashes): crashes_count_when_engines_were_polled_before_the_configuration_came (tests/fleet.rs); it and crashes_before_the_first_report_of_an_engine_count, which is unchanged, are two cases of one function. Nothing of the relay is changed.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -299,8 +299,8 @@
             AttemptError::Cancelled => Outcome::Inconclusive,
             _ => Outcome::Failed,
         };
-        if crashed && let Some(crash) = members::crash_id(&grant.endpoint, &grant.boot) {
-            gossip::record_crash(self.entry, self.spec.content, &crash);
+        if crashed {
+            self.record_crash(grant);
         }
         let decision = if !sent {
             self.retry_unsent()
@@ -315,6 +315,17 @@
         (decision, outcome)
     }
 
+    /// Counts the crash of an endpoint against the content of the request.
+    fn record_crash(&self, grant: &Grant) {
+        match members::crash_id(&grant.endpoint, &grant.boot) {
+            Some(crash) => gossip::record_crash(self.entry, self.spec.content, &crash),
+            None => tracing::warn!(
+                "crash: {} counts against no content, its incarnation is unknown.",
+                grant.endpoint
+            ),
+        }
+    }
+
     /// Decides on a retry if the last attempt sent no byte. That is safe for every request, so the
     /// limit is three times the attempts of the class, and the retry budget doesn't apply.
     fn retry_unsent(&self) -> RetryDecision {
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -163,6 +163,9 @@
         fleet.crash_limit,
         fleet.quarantine,
     );
+    if counted != Counted::Known {
+        tracing::info!("crash: {crash} counts against content {content:016x}.");
+    }
     if counted != Counted::Quarantined {
         return;
     }
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -25,7 +25,7 @@
     read_at: Millis,
     /// Names of the endpoints that have a polling thread.
     polled: IndexSet<String>,
-    /// Names of those whose first poll is complete, whether it got a report or not.
+    /// Names of those whose first poll is complete: it got no report, or one that their pool has.
     tried: IndexSet<String>,
 }
 
@@ -131,20 +131,29 @@
     let client = Client::new(REPORT_TIMEOUT);
     while !entry.stopped() {
         let Some(instance) = entry.listed_instance(name) else { return };
-        if let Ok(report) = read_report(&client, &instance.addr)
-            && let Some(dispatcher) = entry.dispatcher(&instance.service)
-        {
-            let now = entry.now();
-            if let Some(crash) = crash_id(name, &report.boot) {
-                gossip::revoke_crash(entry, &crash);
-            }
-            dispatcher.with(now, |pool| pool.apply_report(now, name, report));
+        if poll_once(entry, &client, &instance) {
+            lock(&entry.members).tried.insert(name.to_owned());
         }
-        lock(&entry.members).tried.insert(name.to_owned());
         entry.clock.sleep(entry.settings.poll);
     }
 }
 
+/// Polls an endpoint once. Returns false if its pool could not take a report: before the first
+/// configuration there are no pools.
+fn poll_once(entry: &Entry, client: &Client, instance: &Instance) -> bool {
+    let report = read_report(client, &instance.addr);
+    let Some(dispatcher) = entry.dispatcher(&instance.service) else { return false };
+    let Ok(report) = report else { return true };
+    let (now, name) = (entry.now(), &instance.name);
+    if let Some(crash) = crash_id(name, &report.boot) {
+        gossip::revoke_crash(entry, &crash);
+    }
+    dispatcher.with(now, |pool| {
+        pool.apply_report(now, name, report);
+        !pool.boot(name).is_empty()
+    })
+}
+
 fn read_report(client: &Client, addr: &str) -> Result<Report, crate::adapter::http::CallError> {
     client.get_json(&format!("http://{addr}/load"))
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -163,14 +163,16 @@
 /// Delay of each chunk between an instance and the engines, in milliseconds: it keeps the first
 /// load reports away from an instance that has just started.
 const SLOW_START: u64 = 200;
+/// Time in which an instance polls its engines several times, in milliseconds.
+const POLLS_MS: u64 = 500;
 
-#[test]
-fn crashes_before_the_first_report_of_an_engine_count() {
+/// Restarts the only instance of a fleet as `start` does, and sends it a content that crashes engines:
+/// each crash must count, although no report of the engines has arrived yet.
+fn assert_first_crashes_count(start: &fn(&mut Rig)) {
     let config = RigConfig { entries: 1, engines: 5, ..RigConfig::default() };
     let mut rig = Rig::start(&config);
     rig.entries[0].kill();
-    rig.set_proxy_faults("engine-", proxy::Fault::Delay(SLOW_START));
-    rig.entries[0].start();
+    start(&mut rig);
     until("the instance is ready", || rig.entries[0].ready());
     let mut last = Response::default();
     for _ in 0..3 {
@@ -182,6 +184,29 @@
     rig.assert_no_violations();
 }
 
+fn start_with_slow_engines(rig: &mut Rig) {
+    rig.set_proxy_faults("engine-", proxy::Fault::Delay(SLOW_START));
+    rig.entries[0].start();
+}
+
+/// Starts the instance without the log: it polls the engines before it has a configuration, and again
+/// when they are slow.
+fn start_before_the_configuration(rig: &mut Rig) {
+    rig.log().set_fault(log::Fault::Down);
+    rig.entries[0].start();
+    until("the instance serves", || rig.entries[0].output().contains("serves on"));
+    sleep_ms(POLLS_MS);
+    rig.set_proxy_faults("engine-", proxy::Fault::Delay(SLOW_START));
+    rig.log().set_fault(log::Fault::None);
+}
+
+cases! {
+    assert_first_crashes_count:
+    crashes_before_the_first_report_of_an_engine_count => start_with_slow_engines as fn(&mut Rig);
+    crashes_count_when_engines_were_polled_before_the_configuration_came =>
+        start_before_the_configuration as fn(&mut Rig);
+}
+
 #[test]
 fn cuts_are_not_taken_for_crashes() {
     let rig = Rig::start(&RigConfig { engines: 4, ..RigConfig::default() });
