--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 mod net;
 mod record;
 mod relay;
+mod silent;
 mod store;
 mod unframed;
 
@@ -33,6 +34,7 @@
     std::fs::create_dir_all(&dir).expect("temporary folder");
     let verdict = match case.as_str() {
         "unframed" => unframed::run(&record, &dir, trouble),
+        "silent" => silent::run(&record, &dir, trouble),
         other => Verdict::NotRun(format!("no case {other}")),
     };
     if std::env::var("KEEP").is_err() {
--- a/review/standin-2/src/net.rs
+++ b/review/standin-2/src/net.rs
@@ -121,10 +121,11 @@
     });
 }
 
-/// A loopback address of this process.
-pub fn own_ip() -> Ipv4Addr {
+/// A loopback address of this process for the machine with this number, up to 7.
+pub fn own_ip(machine: u8) -> Ipv4Addr {
     let pid = std::process::id();
-    Ipv4Addr::new(127, 64 + (pid >> 16) as u8 % 64, (pid >> 8) as u8, (pid as u8).clamp(1, 254))
+    let second = 64 + 16 * (machine % 8) + (pid >> 16) as u8 % 16;
+    Ipv4Addr::new(127, second, (pid >> 8) as u8, (pid as u8).clamp(1, 254))
 }
 
 /// A free port on an address, each only once.
--- a/review/standin-2/src/unframed.rs
+++ b/review/standin-2/src/unframed.rs
@@ -62,7 +62,7 @@
 type Slots = Arc<(Mutex<usize>, Condvar)>;
 
 pub fn run(record: &Record, dir: &Path, trouble: bool) -> Verdict {
-    let ip = own_ip();
+    let ip = own_ip(0);
     let store = Store::start(free_addr(ip));
     let runs = Runs::default();
     store.put("keyed.op", "config", config().as_bytes());
