--- a/review/standin-2/src/net.rs
+++ b/review/standin-2/src/net.rs
@@ -112,7 +112,19 @@
 
 /// Serves each connection in a thread of its own.
 pub fn listen(addr: SocketAddr, serve: impl Fn(TcpStream) + Send + Sync + Clone + 'static) {
+    listen_limited(addr, None, serve);
+}
+
+/// The same, with a limit on what the kernel receives for a connection before it is read.
+pub fn listen_limited(
+    addr: SocketAddr,
+    receive: Option<i32>,
+    serve: impl Fn(TcpStream) + Send + Sync + Clone + 'static,
+) {
     let listener = TcpListener::bind(addr).expect("a free port");
+    if let Some(bytes) = receive {
+        set_option(&listener, SO_RCVBUF, &[bytes]);
+    }
     thread::spawn(move || {
         for sock in listener.incoming().flatten() {
             let serve = serve.clone();
@@ -149,7 +161,7 @@
 const SO_RCVBUF: i32 = 8;
 const SO_LINGER: i32 = 13;
 
-fn set_option(sock: &TcpStream, name: i32, value: &[i32]) {
+fn set_option(sock: &impl AsRawFd, name: i32, value: &[i32]) {
     let size = size_of_val(value) as u32;
     // The descriptor is open, and the value outlives the call.
     let done = unsafe { setsockopt(sock.as_raw_fd(), SOL_SOCKET, name, value.as_ptr(), size) };
