--- a/review/standin-2/src/gone.rs
+++ b/review/standin-2/src/gone.rs
@@ -93,7 +93,9 @@
         match sock.read(&mut piece[..most]) {
             Ok(n) if n > 0 => left -= n,
             _ => {
-                record.line(&format!("server {server} drops {id}: its connection ended in the request"));
+                record.line(&format!(
+                    "server {server} drops {id}: its connection ended in the request"
+                ));
                 return;
             }
         }
@@ -129,7 +131,9 @@
         "POST /lohu930/2f HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nModel: m\r\nDeadline-Ms: 15000\r\n\
          Key: {KEY}\r\nContent-Length: {REQUEST_BYTES}\r\n\r\n"
     );
-    if sock.write_all(head.as_bytes()).is_err() || sock.write_all(&vec![b'x'; REQUEST_BYTES]).is_err() {
+    if sock.write_all(head.as_bytes()).is_err()
+        || sock.write_all(&vec![b'x'; REQUEST_BYTES]).is_err()
+    {
         return none;
     }
     if leaves {
@@ -146,14 +150,21 @@
 }
 
 /// Counts the requests that a server had whole over half a second after their client's close.
-fn judge(record: &Record, closed: &[(String, Option<Instant>)], runs: &[(String, Instant)]) -> Verdict {
+fn judge(
+    record: &Record,
+    closed: &[(String, Option<Instant>)],
+    runs: &[(String, Instant)],
+) -> Verdict {
     let mut late = 0;
     for (id, at) in closed.iter().filter_map(|(id, at)| Some((id, (*at)?))) {
         let Some((_, ran)) = runs.iter().find(|(r, _)| r == id) else { continue };
         let after = ran.saturating_duration_since(at);
         if after > LATE {
             late += 1;
-            record.line(&format!("GONE: {id} reaches a server whole {} ms after its client's close", after.as_millis()));
+            record.line(&format!(
+                "GONE: {id} reaches a server whole {} ms after its client's close",
+                after.as_millis()
+            ));
         }
     }
     let left = closed.iter().filter(|(_, at)| at.is_some()).count();
--- a/review/standin-2/src/net.rs
+++ b/review/standin-2/src/net.rs
@@ -133,11 +133,10 @@
     });
 }
 
-/// A loopback address of this process for the machine with this number, up to 7.
+/// A loopback address of this process for the machine with this number, below 64.
 pub fn own_ip(machine: u8) -> Ipv4Addr {
     let pid = std::process::id();
-    let second = 64 + 16 * (machine % 8) + (pid >> 16) as u8 % 16;
-    Ipv4Addr::new(127, second, (pid >> 8) as u8, (pid as u8).clamp(1, 254))
+    Ipv4Addr::new(127, 64 + machine % 64, (pid >> 8) as u8, (pid as u8).clamp(1, 254))
 }
 
 /// A free port on an address, each only once.
@@ -179,8 +178,6 @@
     set_option(sock, SO_RCVBUF, &[receive]);
 }
 
-pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
--- a/review/standin-2/src/relay.rs
+++ b/review/standin-2/src/relay.rs
@@ -58,7 +58,8 @@
     pub fn is_ready(&self) -> bool {
         use std::io::Write;
         let Ok(mut sock) = TcpStream::connect(self.ready) else { return false };
-        let request = b"GET /sassafrasworks/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        let request =
+            b"GET /sassafrasworks/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
         sock.set_read_timeout(Some(Duration::from_secs(1))).ok();
         sock.write_all(request).is_ok()
             && read_head(&mut sock, &mut Vec::new()).is_some_and(|h| h.status() == 200)
@@ -75,11 +76,6 @@
         }
         false
     }
-
-    /// True once the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.try_wait().is_ok_and(|s| s.is_some())
-    }
 }
 
 impl Drop for Relay {
--- a/review/standin-2/src/silent.rs
+++ b/review/standin-2/src/silent.rs
@@ -14,7 +14,7 @@
 use crate::relay::Relay;
 use crate::store::Store;
 
-const RELAYS: u8 = 3;
+const RELAYS: u8 = 9;
 const HOST: &str = "ficu95.example";
 /// The key that stays, and the one that is taken away.
 const KEYS: [&str; 2] = ["n2ctnfzs989anu6wsjnb", "q7vx0m3kd82hwe5tzr1c"];
@@ -47,7 +47,8 @@
                 let Ok(to) = TcpStream::connect(store) else { continue };
                 sock.set_nodelay(true).ok();
                 to.set_nodelay(true).ok();
-                let (from2, to2) = (sock.try_clone().expect("shared"), to.try_clone().expect("shared"));
+                let (from2, to2) =
+                    (sock.try_clone().expect("shared"), to.try_clone().expect("shared"));
                 own.pump(sock, to);
                 own.pump(to2, from2);
             }
@@ -127,7 +128,11 @@
     thread::sleep(WATCH);
     stop.store(true, Ordering::SeqCst);
     let probes: Vec<Probe> = watchers.into_iter().filter_map(|w| w.join().ok()).flatten().collect();
-    let judged = if trouble { (revoked + CONFIG_APPLY).max(silent + CONTACT) } else { revoked + CONFIG_APPLY };
+    let judged = if trouble {
+        (revoked + CONFIG_APPLY).max(silent + CONTACT)
+    } else {
+        revoked + CONFIG_APPLY
+    };
     judge(record, &probes, judged, revoked, &runs.lock().unwrap())
 }
 
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -142,7 +142,8 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
-        let word = chunk.iter().fold(0u32, |w, b| w << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
+        let word =
+            chunk.iter().fold(0u32, |w, b| w << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
         for i in 0..4 {
             let digit = DIGITS[(word >> (18 - 6 * i)) as usize & 63] as char;
             out.push(if i <= chunk.len() { digit } else { '=' });
--- a/review/standin-2/src/unframed.rs
+++ b/review/standin-2/src/unframed.rs
@@ -13,8 +13,8 @@
 
 use crate::Verdict;
 use crate::net::{
-    Head, SIGCONT, SIGSTOP, free_addr, limit_buffers, listen, own_ip, read_chunked, read_exact, read_head,
-    reset_on_close,
+    Head, SIGCONT, SIGSTOP, free_addr, limit_buffers, listen, own_ip, read_chunked, read_exact,
+    read_head, reset_on_close,
 };
 use crate::record::Record;
 use crate::relay::Relay;
@@ -207,20 +207,17 @@
 }
 
 fn ask(front: SocketAddr, id: &str, record: &Record) -> Answer {
-    let none = Answer {
-        id: id.to_owned(),
-        status: 0,
-        sealed: false,
-        complete: false,
-        body: Vec::new(),
-    };
+    let none =
+        Answer { id: id.to_owned(), status: 0, sealed: false, complete: false, body: Vec::new() };
     let Ok(mut sock) = TcpStream::connect(front) else { return none };
     sock.set_read_timeout(Some(Duration::from_secs(20))).ok();
     let head = format!(
         "POST /puxa403/2f HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: 15000\r\nKey: {KEY}\r\n\
          Content-Length: {REQUEST_BYTES}\r\n\r\n"
     );
-    if sock.write_all(head.as_bytes()).is_err() || sock.write_all(&vec![b'x'; REQUEST_BYTES]).is_err() {
+    if sock.write_all(head.as_bytes()).is_err()
+        || sock.write_all(&vec![b'x'; REQUEST_BYTES]).is_err()
+    {
         return none;
     }
     record.line(&format!("client has sent {id}"));
