--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,7 +3,9 @@
 //!
 //! Usage: review-2 CASE RECORD. Exit status 1: the rule was broken, 0: it held, 2: the case couldn't run.
 
+mod foreign;
 mod gone;
+mod head;
 mod net;
 mod record;
 mod relay;
@@ -35,7 +37,9 @@
     std::fs::create_dir_all(&dir).expect("temporary folder");
     let verdict = match case.as_str() {
         "unframed" => unframed::run(&record, &dir, trouble),
+        "foreign" => foreign::run(&record, &dir, trouble),
         "gone" => gone::run(&record, &dir, trouble),
+        "head" => head::run(&record, &dir, trouble),
         "silent" => silent::run(&record, &dir, trouble),
         other => Verdict::NotRun(format!("no case {other}")),
     };
