--- a/review/standin-2/src/net.rs
+++ b/review/standin-2/src/net.rs
@@ -153,6 +153,7 @@
 unsafe extern "C" {
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, size: u32) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
 const SOL_SOCKET: i32 = 1;
@@ -186,3 +187,13 @@
     // The process is a child that has not been waited for.
     unsafe { kill(pid as i32, signal) };
 }
+
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+/// Makes the calling process end when its parent ends.
+pub fn end_with_parent() -> io::Result<()> {
+    // The call takes numbers only.
+    unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) };
+    Ok(())
+}
--- a/review/standin-2/src/relay.rs
+++ b/review/standin-2/src/relay.rs
@@ -2,11 +2,12 @@
 
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use crate::net::{free_addr, read_head, signal};
+use crate::net::{end_with_parent, free_addr, read_head, signal};
 
 /// Command of the deploy file, seen from the root of the repository.
 const PROGRAM: &str = "target/release/sassafras-relay";
@@ -87,7 +88,10 @@
 
 fn spawn(settings: &PathBuf, log: &Path) -> Child {
     let log = File::create(log).expect("log created");
-    Command::new(PROGRAM)
+    let mut command = Command::new(PROGRAM);
+    // The call is safe between fork and exec.
+    unsafe { command.pre_exec(end_with_parent) };
+    command
         .env("SASSAFRASWORKS_CONFIG", settings)
         .stdin(Stdio::null())
         .stdout(log.try_clone().expect("log shared"))
