--- a/review/standin-2/src/foreign.rs
+++ b/review/standin-2/src/foreign.rs
@@ -63,8 +63,8 @@
     let stop = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = (0..CLIENTS)
         .map(|i| {
-            let (front, own) = (relay.front, Arc::clone(&stop));
-            thread::spawn(move || order_all(i, front, &own))
+            let (front, own, record) = (relay.front, Arc::clone(&stop), record.clone());
+            thread::spawn(move || order_all(i, front, &own, &record))
         })
         .collect();
     thread::sleep(CALM);
@@ -139,14 +139,19 @@
 }
 
 /// Sends orders one after the other. Returns how many were answered with 200.
-fn order_all(client: usize, front: SocketAddr, stop: &AtomicBool) -> usize {
+fn order_all(client: usize, front: SocketAddr, stop: &AtomicBool, record: &Record) -> usize {
     let mut answered = 0;
     for i in 0.. {
         if stop.load(Ordering::SeqCst) {
             break;
         }
-        let head = order(front, &format!("a{client}-{i}"));
-        answered += usize::from(head.is_some_and(|h| h.status() == 200));
+        let id = format!("a{client}-{i}");
+        record.line(&format!("client sends order {id}"));
+        let head = order(front, &id);
+        let status = head.as_ref().map_or(0, Head::status);
+        let seal = head.and_then(|h| h.get("Instance-Seal").map(str::to_owned));
+        record.line(&format!("client gets {status} to {id}, signature {seal:?}"));
+        answered += usize::from(status == 200);
         thread::sleep(PAUSE);
     }
     answered
--- a/review/standin-2/src/gone.rs
+++ b/review/standin-2/src/gone.rs
@@ -136,6 +136,7 @@
     {
         return none;
     }
+    record.line(&format!("client has sent {id}"));
     if leaves {
         thread::sleep(STAY);
         drop(sock);
--- a/review/standin-2/src/head.rs
+++ b/review/standin-2/src/head.rs
@@ -28,7 +28,8 @@
     store.put("keyed.op", "config", config(7, &KEYS).as_bytes());
     for i in 0..SERVERS {
         let addr = free_addr(ip);
-        listen(addr, move |sock| serve(sock, i));
+        let own = record.clone();
+        listen(addr, move |sock| serve(sock, i, &own));
         store.put("keyed.servers", &format!("i-{i}"), entry(addr).as_bytes());
     }
     let relay = Relay::start(dir, "edge-recife-1", ip, store.addr);
@@ -74,7 +75,7 @@
     )
 }
 
-fn serve(mut sock: TcpStream, server: usize) {
+fn serve(mut sock: TcpStream, server: usize, record: &Record) {
     let mut buffer = Vec::new();
     while let Some(head) = read_head(&mut sock, &mut buffer) {
         let (_, whole) = read_exact(&mut sock, &mut buffer, head.length().unwrap_or(0));
@@ -82,6 +83,7 @@
             return;
         }
         let id = head.get("Attempt-Id").unwrap_or_default();
+        record.line(&format!("server i-{server} runs {id}: {}", head.line));
         let text = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nInstance-Seal: i-{server}.{id}\r\nContent-Length: 800\r\n\r\n"
         );
@@ -106,6 +108,7 @@
         );
         sock.set_read_timeout(Some(Duration::from_secs(3))).ok()?;
         sock.write_all(request.as_bytes()).ok()?;
+        record.line(&format!("client sends {id} with the key that is taken away"));
         let mut rest = Vec::new();
         let head = read_head(&mut sock, &mut rest)?;
         sock.set_read_timeout(Some(LISTEN)).ok()?;
--- a/review/standin-2/src/silent.rs
+++ b/review/standin-2/src/silent.rs
@@ -93,8 +93,8 @@
     let link = Link::start(free_addr(ip), store.addr);
     let runs = Arc::new(Mutex::new(Vec::new()));
     let server = free_addr(ip);
-    let own = Arc::clone(&runs);
-    listen(server, move |sock| serve(sock, &own));
+    let (own, own_record) = (Arc::clone(&runs), record.clone());
+    listen(server, move |sock| serve(sock, &own, &own_record));
     store.put("keyed.op", "config", config(7, &KEYS).as_bytes());
     store.put("keyed.servers", "i-0", entry(server).as_bytes());
     let relays: Vec<Relay> = (0..RELAYS)
@@ -155,7 +155,7 @@
     )
 }
 
-fn serve(mut sock: TcpStream, runs: &Mutex<Vec<String>>) {
+fn serve(mut sock: TcpStream, runs: &Mutex<Vec<String>>, record: &Record) {
     let mut buffer = Vec::new();
     while let Some(head) = read_head(&mut sock, &mut buffer) {
         let (_, whole) = read_exact(&mut sock, &mut buffer, head.length().unwrap_or(0));
@@ -163,6 +163,7 @@
         if !whole {
             return;
         }
+        record.line(&format!("server i-0 runs {id}"));
         runs.lock().unwrap().push(id.clone());
         let headers = format!("Attempt-Id: {id}\r\nInstance-Seal: i-0.{id}\r\n");
         if respond(&mut sock, 200, &headers, b"printed").is_err() {
@@ -176,6 +177,7 @@
     let mut probes = Vec::new();
     while !stop.load(Ordering::SeqCst) {
         let id = format!("{name}-{}", probes.len());
+        record.line(&format!("client sends {id} to {name}"));
         let sent = Instant::now();
         let status = ask(front, &id).unwrap_or(0);
         record.line(&format!("{name} answers {status} to {id}, with the key that is taken away"));
