--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -7,13 +7,14 @@
 use super::turn::Turn;
 use crate::policy::attempt::FailureKind;
 use crate::relay::caller::Caller;
+use crate::relay::fault::Fault;
 use crate::relay::link::{Disconnect, Link};
 use crate::relay::names::HeaderNames;
 use crate::relay::output::append;
 use crate::relay::sse::Events;
 use crate::relay::stats::RouteLabels;
 use crate::relay::table::RouteKind;
-use crate::relay::wire::{self, Decoder, Head, Step};
+use crate::relay::wire::{self, Decoder, Head, MessageError, Step};
 
 /// Maximum size of a response's head, in bytes.
 const HEAD_LIMIT: usize = 64 << 10;
@@ -23,6 +24,8 @@
 const GAP_EVENTS: u64 = 2;
 /// Maximum size of a body that is not a stream, in bytes.
 const BODY_LIMIT: usize = 16 << 20;
+/// Status that ends the use of HTTP on a connection; no request asks for it.
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// Result of parsing the next bytes of a connection.
 enum ParseStep {
@@ -33,7 +36,13 @@
     /// The response is complete.
     Complete,
     /// The response is malformed or too large.
-    Invalid,
+    Invalid(Fault),
+}
+
+impl<E: Into<Fault>> From<E> for ParseStep {
+    fn from(fault: E) -> Self {
+        Self::Invalid(fault.into())
+    }
 }
 
 impl Driver {
@@ -52,10 +61,12 @@
             match step {
                 ParseStep::Incomplete => return,
                 ParseStep::Continue => {}
-                ParseStep::Invalid => return self.link_failed(index, Cause::InvalidResponse),
+                ParseStep::Invalid(fault) => {
+                    return self.link_failed(index, Cause::InvalidResponse(fault));
+                }
                 ParseStep::Complete if self.links[index].foreign => {
                     if !self.skip_foreign(index) {
-                        return self.link_failed(index, Cause::InvalidResponse);
+                        return self.link_failed(index, Cause::InvalidResponse(Fault::Skipped));
                     }
                 }
                 ParseStep::Complete => return self.response_complete(index),
@@ -106,10 +117,10 @@
     /// Parses the next part of a body: events of a stream are forwarded, other bodies buffered.
     fn parse_body(&mut self, index: usize) -> ParseStep {
         let link = &mut self.links[index];
-        let Some(decoder) = &mut link.decoder else { return ParseStep::Invalid };
+        let Some(decoder) = &mut link.decoder else { return ParseStep::Incomplete };
         let step = decoder.step(&link.input);
         let data = match step {
-            Err(_) => return ParseStep::Invalid,
+            Err(e) => return e.into(),
             Ok(Step::End) => {
                 let used = decoder.consumed();
                 link.input.drain(..used);
@@ -126,14 +137,17 @@
         };
         if link.foreign {
             let within = link.skip_bytes(data.len());
-            return if within { ParseStep::Continue } else { ParseStep::Invalid };
+            return if within { ParseStep::Continue } else { Fault::Skipped.into() };
         }
         if self.is_event_stream(index) {
             return self.forward_events(index, &data);
         }
         let link = &mut self.links[index];
         append(&mut link.body, &data, BODY_LIMIT);
-        if link.body.len() > BODY_LIMIT { ParseStep::Invalid } else { ParseStep::Continue }
+        if link.body.len() > BODY_LIMIT {
+            return MessageError::BodyTooLarge.into();
+        }
+        ParseStep::Continue
     }
 
     /// Discards a response that belongs to another request. Returns false if there are too many.
@@ -156,14 +170,14 @@
 
     fn forward_events(&mut self, index: usize, data: &[u8]) -> ParseStep {
         let now = self.clock.now();
-        let Some(caller) = self.links[index].caller else { return ParseStep::Invalid };
+        let Some(caller) = self.links[index].caller else { return ParseStep::Incomplete };
         let Some(exchange) = self.callers.get_mut(caller.index).and_then(|c| c.exchange.as_mut())
         else {
-            return ParseStep::Invalid;
+            return ParseStep::Incomplete;
         };
         let events = match exchange.splitter.feed(data) {
             Events::Pass(events) => events,
-            Events::Broken => return ParseStep::Invalid,
+            Events::Broken => return Fault::Events.into(),
         };
         if events.is_empty() {
             return ParseStep::Continue;
@@ -275,7 +289,8 @@
             return self.attempt_failed(caller.index, FailureKind::Failed, Cause::Error);
         }
         if self.stream_started(caller.index) {
-            return self.attempt_failed(caller.index, FailureKind::Lost, Cause::InvalidResponse);
+            let cause = Cause::InvalidResponse(Fault::NoEvents);
+            return self.attempt_failed(caller.index, FailureKind::Lost, cause);
         }
         self.forward_response(index, caller.index, "answered");
     }
@@ -286,7 +301,8 @@
         let link = &mut self.links[index];
         let attempt = link.head.as_ref().and_then(|h| h.get(self.setup.names.attempt));
         if attempt.is_none() && link.served > 0 {
-            return self.attempt_failed(caller, FailureKind::Lost, Cause::InvalidResponse);
+            let cause = Cause::InvalidResponse(Fault::Ambiguous);
+            return self.attempt_failed(caller, FailureKind::Lost, cause);
         }
         let exchange = self.callers.get(caller).and_then(|c| c.exchange.as_ref());
         link.refused.extend(exchange.map(|e| e.id.clone()));
@@ -324,7 +340,7 @@
             return self.link_failed(index, Cause::ConnectionLost);
         }
         if exchange.splitter.has_partial() {
-            return self.link_failed(index, Cause::InvalidResponse);
+            return self.link_failed(index, Cause::InvalidResponse(Fault::PartialEvent));
         }
         if !exchange.streaming {
             return self.forward_response(index, caller, "answered");
@@ -441,22 +457,25 @@
     let head = match wire::parse_response(&link.input, HEAD_LIMIT) {
         Ok(Some(head)) => head,
         Ok(None) => return ParseStep::Incomplete,
-        Err(_) => return ParseStep::Invalid,
+        Err(e) => return e.into(),
     };
     link.input.drain(..head.size);
+    if head.status == SWITCHING_PROTOCOLS {
+        return Fault::Upgrade.into();
+    }
     if (100..200).contains(&head.status) {
         turn.skipped += 1;
-        let valid = head.status != 101 && link.skip_response();
-        return if valid { ParseStep::Continue } else { ParseStep::Invalid };
+        return if link.skip_response() { ParseStep::Continue } else { Fault::Skipped.into() };
     }
-    let Ok(framing) = wire::response_framing(&head, &link.method) else {
-        return ParseStep::Invalid;
+    let framing = match wire::response_framing(&head, &link.method) {
+        Ok(framing) => framing,
+        Err(e) => return e.into(),
     };
     let caller = link.caller.and_then(|u| callers.get(u.index));
     let id = caller.and_then(|c| c.exchange.as_ref()).map(|e| e.id.as_str());
     link.foreign = head.get(names.attempt).is_some_and(|a| Some(a) != id);
     if !link.foreign && (200..300).contains(&head.status) && head.count(names.seal) == 0 {
-        return ParseStep::Invalid;
+        return Fault::Unsealed.into();
     }
     link.decoder = Some(Decoder::new(framing));
     link.head = Some(head);
--- a/src/relay/driver/outcome.rs
+++ b/src/relay/driver/outcome.rs
@@ -7,6 +7,7 @@
 use crate::policy::place::{Block, Endpoint};
 use crate::policy::suspect::Content;
 use crate::relay::exchange::Exchange;
+use crate::relay::fault::Fault;
 use crate::relay::stats::{FailureLabels, RequestLabels, RouteLabels};
 
 /// Time for which a stale incarnation is reported to peers.
@@ -32,7 +33,7 @@
     /// The connection broke before the response was complete.
     ConnectionLost,
     /// The response is malformed or too large.
-    InvalidResponse,
+    InvalidResponse(Fault),
     /// The response was given up, as the buffers of all connections took too much memory.
     Evicted,
 }
@@ -46,10 +47,18 @@
             Self::Full => "full",
             Self::Error => "error",
             Self::ConnectionLost => "broken",
-            Self::InvalidResponse => "garbled",
+            Self::InvalidResponse(_) => "garbled",
             Self::Evicted => "evicted",
         }
     }
+
+    /// What is wrong with the response, if there is one.
+    fn fault(self) -> Option<Fault> {
+        match self {
+            Self::InvalidResponse(fault) => Some(fault),
+            _ => None,
+        }
+    }
 }
 
 impl Driver {
@@ -92,6 +101,7 @@
             endpoint,
             content,
             cause = cause.name(),
+            fault = cause.fault().map(|f| f.to_string()),
             fact = ?failure,
             ?next,
             sends = state.sends,
@@ -172,7 +182,7 @@
             }
             Cause::ConnectFailed => e.record_failure(now, true),
             Cause::Full => false,
-            Cause::Error | Cause::ConnectionLost | Cause::InvalidResponse | Cause::Evicted => {
+            Cause::Error | Cause::ConnectionLost | Cause::InvalidResponse(_) | Cause::Evicted => {
                 e.record_failure(now, false)
             }
         };
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,6 +8,7 @@
 pub mod driver;
 pub mod duty;
 mod exchange;
+mod fault;
 pub mod follow;
 pub mod gossip;
 pub mod groups;
