Answers with a status below 100 or above 599 reach callers no more

Cause: httparse takes any three digits as the status, and nothing after it looked at the number. Ruled out: that 000 is taken for an interim response (those begin at 100), and that the relay makes it up (the stand-in's bytes). Class: what the parser library tolerates was taken for what the protocol allows.

Change: parse_response rejects what is not from 100 to 599. Such an answer is a lost one: 502, run once, repeated elsewhere only if the request may be; logged with fault="malformed message: status code".

Before: 4 cases (000, 099, 600, 999) failed; the caller got 600 and 999 with the seal, 0 and 99 as such. After: 91 of 91 pass.

--- a/src/relay/wire/error.rs
+++ b/src/relay/wire/error.rs
@@ -6,6 +6,9 @@
     /// The request line or the status line is malformed.
     #[error("start line")]
     StartLine,
+    /// The status code is not from 100 to 599.
+    #[error("status code")]
+    StatusCode,
     /// The name of a field is missing or has a byte that is not allowed there.
     #[error("field name")]
     FieldName,
--- a/src/relay/wire/grammar.rs
+++ b/src/relay/wire/grammar.rs
@@ -5,6 +5,11 @@
 /// Optional white space.
 pub(super) const OWS: [char; 2] = [' ', '\t'];
 
+/// Checks the status of a response, for which `httparse` accepts any three digits.
+pub(super) fn check_status(status: u16) -> Result<(), Flaw> {
+    if (100..600).contains(&status) { Ok(()) } else { Err(Flaw::StatusCode) }
+}
+
 /// Parses a chunk size line; chunk extensions are ignored.
 pub(super) fn chunk_size(line: &[u8]) -> Result<u64, Flaw> {
     let digits = line.split(|b| *b == b';').next().unwrap_or(line).trim_ascii_end();
--- a/src/relay/wire/mod.rs
+++ b/src/relay/wire/mod.rs
@@ -7,7 +7,7 @@
 pub use decoder::{Decoder, Step};
 pub use error::{Flaw, MessageError};
 
-use grammar::OWS;
+use grammar::{OWS, check_status};
 
 /// Maximum number of headers in a message.
 const MAX_HEADERS: usize = 100;
@@ -119,7 +119,7 @@
 }
 
 /// Parses the head of a response; `None` while it is incomplete. An incomplete head of more than
-/// `limit` bytes is rejected.
+/// `limit` bytes is rejected, and so is one that recipients may tolerate but senders must not send.
 pub fn parse_response(bytes: &[u8], limit: usize) -> Result<Option<Head>, MessageError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut headers);
@@ -130,6 +130,7 @@
         Err(e) => return Err(e.into()),
     };
     let status = parsed.code.unwrap_or_default();
+    check_status(status)?;
     Ok(Some(Head {
         method: String::new(),
         target: String::new(),
