Heads that end lines with a line feed alone, or lack blanks, are no answers

Callers saw: 200 with the endpoint's seal for heads that the grammar doesn't allow: an empty line before the status line (also after an interim response), no blank after the status code, a line feed without a carriage return.

Cause: httparse accepts what recipients may tolerate.

Change: parse_response checks the blanks around the code, the first bytes and every line end. RFC 9112 lets recipients tolerate these but doesn't ask them to; a caller gets none of them as an answer.

--- a/src/relay/wire/grammar.rs
+++ b/src/relay/wire/grammar.rs
@@ -4,9 +4,18 @@
 
 /// Optional white space.
 pub(super) const OWS: [char; 2] = [' ', '\t'];
+/// Offsets of the blanks around the status code in a status line.
+const STATUS_BLANKS: [usize; 2] = [8, 12];
 
-/// Checks the status of a response, for which `httparse` accepts any three digits.
-pub(super) fn check_status(status: u16) -> Result<(), Flaw> {
+/// Checks what `httparse` tolerates in the head of a response: empty lines before it, a status line
+/// without all of its blanks, line feeds without a carriage return, and any three digits as the status.
+pub(super) fn check_response_head(head: &[u8], status: u16) -> Result<(), Flaw> {
+    if !head.starts_with(b"HTTP/") || STATUS_BLANKS.iter().any(|i| head.get(*i) != Some(&b' ')) {
+        return Err(Flaw::StartLine);
+    }
+    if head.windows(2).any(|w| w[1] == b'\n' && w[0] != b'\r') {
+        return Err(Flaw::LineEnd);
+    }
     if (100..600).contains(&status) { Ok(()) } else { Err(Flaw::StatusCode) }
 }
 
--- a/src/relay/wire/mod.rs
+++ b/src/relay/wire/mod.rs
@@ -7,7 +7,7 @@
 pub use decoder::{Decoder, Step};
 pub use error::{Flaw, MessageError};
 
-use grammar::{OWS, check_status};
+use grammar::{OWS, check_response_head};
 
 /// Maximum number of headers in a message.
 const MAX_HEADERS: usize = 100;
@@ -130,7 +130,7 @@
         Err(e) => return Err(e.into()),
     };
     let status = parsed.code.unwrap_or_default();
-    check_status(status)?;
+    check_response_head(&bytes[..size], status)?;
     Ok(Some(Head {
         method: String::new(),
         target: String::new(),
