Answers whose headers contradict their status or version are no answers

Callers saw: 200, 204, 205 or 304 with the seal for answers with chunks in HTTP/1.0, interim responses with a length, 204 with a length or chunks, 205 with a body, 304 (and HEAD) with a length that is no number.

Cause: the framing of a response was chosen before its headers were validated, and not at all for interim responses; requests in HTTP/1.0 were checked for chunks, responses weren't.

Change: response_framing validates first, for interim responses too; 205 with content is rejected. A 204 or an interim response with a length of 0 passes: RFC 9112, section 6.3, ends it at its empty line, and 0 says the same.

--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -14,7 +14,7 @@
 use crate::relay::sse::Events;
 use crate::relay::stats::RouteLabels;
 use crate::relay::table::RouteKind;
-use crate::relay::wire::{self, Decoder, Head, MessageError, Step};
+use crate::relay::wire::{self, Decoder, Flaw, Head, MessageError, Step};
 
 /// Maximum size of a response's head, in bytes.
 const HEAD_LIMIT: usize = 64 << 10;
@@ -26,6 +26,8 @@
 const BODY_LIMIT: usize = 16 << 20;
 /// Status that ends the use of HTTP on a connection; no request asks for it.
 const SWITCHING_PROTOCOLS: u16 = 101;
+/// Status of a response that has no content, whatever its headers say.
+const RESET_CONTENT: u16 = 205;
 
 /// Result of parsing the next bytes of a connection.
 enum ParseStep {
@@ -139,6 +141,9 @@
             let within = link.skip_bytes(data.len());
             return if within { ParseStep::Continue } else { Fault::Skipped.into() };
         }
+        if link.head.as_ref().is_some_and(|h| h.status == RESET_CONTENT) {
+            return MessageError::from(Flaw::Framing).into();
+        }
         if self.is_event_stream(index) {
             return self.forward_events(index, &data);
         }
@@ -460,6 +465,10 @@
         Err(e) => return e.into(),
     };
     link.input.drain(..head.size);
+    let framing = match wire::response_framing(&head, &link.method) {
+        Ok(framing) => framing,
+        Err(e) => return e.into(),
+    };
     if head.status == SWITCHING_PROTOCOLS {
         return Fault::Upgrade.into();
     }
@@ -467,10 +476,6 @@
         turn.skipped += 1;
         return if link.skip_response() { ParseStep::Continue } else { Fault::Skipped.into() };
     }
-    let framing = match wire::response_framing(&head, &link.method) {
-        Ok(framing) => framing,
-        Err(e) => return e.into(),
-    };
     let caller = link.caller.and_then(|u| callers.get(u.index));
     let id = caller.and_then(|c| c.exchange.as_ref()).map(|e| e.id.as_str());
     link.foreign = head.get(names.attempt).is_some_and(|a| Some(a) != id);
--- a/src/relay/wire/mod.rs
+++ b/src/relay/wire/mod.rs
@@ -173,11 +173,11 @@
     agreed(lengths(head).map(|v| parse_length(v?)))
 }
 
-/// True when the body is chunked. Fails for any other transfer coding.
+/// True when the body is chunked. Fails for any other transfer coding, and for HTTP/1.0, which has none.
 fn is_chunked(head: &Head) -> Result<bool, Flaw> {
     match head.count("transfer-encoding") {
         0 => Ok(false),
-        1 => match head.get("transfer-encoding") {
+        1 if !head.http10 => match head.get("transfer-encoding") {
             Some(v) if v.eq_ignore_ascii_case("chunked") => Ok(true),
             _ => Err(Flaw::Coding),
         },
@@ -190,22 +190,23 @@
 pub fn request_framing(head: &Head) -> Result<Framing, MessageError> {
     match (is_chunked(head)?, content_length(head)?) {
         (true, Some(_)) => Err(Flaw::Framing.into()),
-        (true, None) if head.http10 => Err(Flaw::Coding.into()),
         (true, None) => Ok(Framing::Chunked),
         (false, n) => Ok(Framing::Length(n.unwrap_or(0))),
     }
 }
 
-/// Framing of the body of a response to a request with `method`.
+/// Framing of the body of a response to a request with `method`. A response that announces a body where
+/// its status allows none is rejected.
 pub fn response_framing(head: &Head, method: &str) -> Result<Framing, MessageError> {
-    if method.eq_ignore_ascii_case("HEAD") || matches!(head.status, 204 | 304) {
-        return Ok(Framing::Length(0));
-    }
-    match (is_chunked(head)?, content_length(head)?) {
-        (true, Some(_)) => Err(Flaw::Framing.into()),
-        (true, None) => Ok(Framing::Chunked),
-        (false, Some(n)) => Ok(Framing::Length(n)),
-        (false, None) => Ok(Framing::Close),
+    let (chunked, length) = (is_chunked(head)?, content_length(head)?);
+    match (head.status, chunked, length) {
+        (_, true, Some(_)) | (100..200 | 204, true, _) => Err(Flaw::Framing.into()),
+        (100..200 | 204 | 205, _, Some(1..)) => Err(Flaw::Framing.into()),
+        (100..200 | 204 | 304, _, _) => Ok(Framing::Length(0)),
+        _ if method.eq_ignore_ascii_case("HEAD") => Ok(Framing::Length(0)),
+        (_, true, None) => Ok(Framing::Chunked),
+        (_, false, Some(n)) => Ok(Framing::Length(n)),
+        (_, false, None) => Ok(Framing::Close),
     }
 }
 
