Malformed chunk extensions and trailers are no answers

Callers saw: 200 with the seal and the data for bodies whose chunk lines or trailers had control bytes, a carriage return, names with blanks, no names or no colon, folded lines, or fields that set the framing.

Cause: the decoder skipped extensions up to the line end and trailers up to the empty line without reading them.

Callers' requests, which the same decoder reads, get 400 for them.

--- a/src/relay/wire/decoder.rs
+++ b/src/relay/wire/decoder.rs
@@ -2,7 +2,7 @@
 
 use std::ops::Range;
 
-use super::grammar::chunk_size;
+use super::grammar::{chunk_size, is_trailer_line};
 use super::{Flaw, Framing, MessageError};
 
 /// Maximum length of a line in a chunked body, such as a chunk size line, in bytes.
@@ -134,6 +134,9 @@
                     if line.is_empty() {
                         return Ok(self.end());
                     }
+                    if !is_trailer_line(&bytes[line.clone()]) {
+                        return Err(Flaw::Trailer.into());
+                    }
                     self.trailer += line.len();
                     if self.trailer > MAX_TRAILER {
                         return Err(MessageError::HeadTooLarge);
--- a/src/relay/wire/error.rs
+++ b/src/relay/wire/error.rs
@@ -30,9 +30,15 @@
     /// The size of a chunk is not a number.
     #[error("chunk size")]
     ChunkSize,
+    /// An extension of a chunk is malformed.
+    #[error("chunk extension")]
+    ChunkExtension,
     /// The line break after the data of a chunk is missing.
     #[error("chunk end")]
     ChunkEnd,
+    /// A trailer line is malformed, or of a field that is not allowed in trailers.
+    #[error("trailer")]
+    Trailer,
 }
 
 /// Why a message is rejected.
