--- a/src/relay/wire/mod.rs
+++ b/src/relay/wire/mod.rs
@@ -167,12 +167,22 @@
     Ok(length)
 }
 
-/// Length of a body according to its headers. Fails if it is not a number, or if several
+/// Length of a request's body according to its headers. Fails if it is not a number, or if several
 /// values differ.
-fn content_length(head: &Head) -> Result<Option<u64>, Flaw> {
+fn request_length(head: &Head) -> Result<Option<u64>, Flaw> {
     agreed(lengths(head).map(|v| parse_length(v?)))
 }
 
+/// The same for a response, of which RFC 9112, section 6.3, accepts a list of equal values.
+fn response_length(head: &Head) -> Result<Option<u64>, Flaw> {
+    let mut found = None;
+    for list in lengths(head) {
+        let values = list?.split(',').map(|v| parse_length(v.trim_matches(OWS)));
+        found = agreed(found.map(Ok).into_iter().chain(values))?;
+    }
+    Ok(found)
+}
+
 /// True when the body is chunked. Fails for any other transfer coding, and for HTTP/1.0, which has none.
 fn is_chunked(head: &Head) -> Result<bool, Flaw> {
     match head.count("transfer-encoding") {
@@ -188,7 +198,7 @@
 /// Framing of a request's body. A request with both `Content-Length` and `Transfer-Encoding` is
 /// rejected, because each recipient could go by a different one (request smuggling).
 pub fn request_framing(head: &Head) -> Result<Framing, MessageError> {
-    match (is_chunked(head)?, content_length(head)?) {
+    match (is_chunked(head)?, request_length(head)?) {
         (true, Some(_)) => Err(Flaw::Framing.into()),
         (true, None) => Ok(Framing::Chunked),
         (false, n) => Ok(Framing::Length(n.unwrap_or(0))),
@@ -198,7 +208,7 @@
 /// Framing of the body of a response to a request with `method`. A response that announces a body where
 /// its status allows none is rejected.
 pub fn response_framing(head: &Head, method: &str) -> Result<Framing, MessageError> {
-    let (chunked, length) = (is_chunked(head)?, content_length(head)?);
+    let (chunked, length) = (is_chunked(head)?, response_length(head)?);
     match (head.status, chunked, length) {
         (_, true, Some(_)) | (100..200 | 204, true, _) => Err(Flaw::Framing.into()),
         (100..200 | 204 | 205, _, Some(1..)) => Err(Flaw::Framing.into()),
