Answers that are reset while their request is written pass as whole no more

Cause: the kernel reports a reset once, to whichever of reading and writing comes first. A write that found it dropped the error ("reading finds out"); the read after it gets the rest of the data and then the end, as after a close in order, which completes an answer without a length. Writes come first when the reset arrives between reading and writing of one event, and when a turn skips reading because it has read its share. Ruled out: the answer's framing (with a length or chunks the part was never whole) and the order of reading before writing alone (the race remains).

Change: a write tells a reset from a connection that the endpoint had closed in order (ECONNRESET and others, or EPIPE: the close came first), and the connection remembers a reset: no end that is read later is in order.

--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -400,6 +400,7 @@
     pub(super) fn link_ended(&mut self, index: usize, end: Disconnect, unsent: bool) {
         let Some(link) = self.links.get(index) else { return };
         let complete = end == Disconnect::Closed
+            && !link.reset
             && !link.foreign
             && link.decoder.as_ref().is_some_and(Decoder::until_close);
         if link.caller.is_none() {
--- a/src/relay/driver/callers.rs
+++ b/src/relay/driver/callers.rs
@@ -11,7 +11,7 @@
 use crate::adapter::clock::Millis;
 use crate::relay::budget::Holder;
 use crate::relay::caller::{Caller, ListenerKind, Progress};
-use crate::relay::output::{append, write_available};
+use crate::relay::output::{WriteEnd, append, write_available};
 use crate::relay::read::{ReadEnd, read_available};
 use crate::relay::timers::Owner;
 use crate::relay::wire::{self, MessageError};
@@ -283,22 +283,22 @@
     fn write_parts(&mut self, index: usize, bytes: &[u8], body: Vec<u8>) {
         let Some(caller) = self.callers.get_mut(index) else { return };
         let Caller { sock, out, .. } = caller;
-        let (mut sent, mut usable) = (0, true);
+        let (mut sent, mut end) = (0, WriteEnd::Usable);
         if out.is_empty() {
-            (sent, usable) = write_available(sock, bytes);
+            (sent, end) = write_available(sock, bytes);
             out.extend(&bytes[sent..]);
         } else {
             out.extend(bytes);
         }
         if !body.is_empty() {
             let mut n = 0;
-            if usable && out.is_empty() {
-                (n, usable) = write_available(sock, &body);
+            if end == WriteEnd::Usable && out.is_empty() {
+                (n, end) = write_available(sock, &body);
             }
             sent += n;
             out.push(body, n);
         }
-        self.after_write(index, sent, usable);
+        self.after_write(index, sent, end == WriteEnd::Usable);
     }
 
     fn flush_caller(&mut self, index: usize) {
@@ -306,8 +306,8 @@
         if caller.out.is_empty() {
             return;
         }
-        let (sent, usable) = caller.out.write_to(&mut caller.sock);
-        self.after_write(index, sent, usable);
+        let (sent, end) = caller.out.write_to(&mut caller.sock);
+        self.after_write(index, sent, end == WriteEnd::Usable);
     }
 
     /// Handles what a write changes: the connection is broken, its caller doesn't read, or the last
--- a/src/relay/driver/links.rs
+++ b/src/relay/driver/links.rs
@@ -10,7 +10,7 @@
 use crate::adapter::clock::Millis;
 use crate::relay::budget::Holder;
 use crate::relay::link::{CONNECT_TIMEOUT, CallerRef, Disconnect, IDLE_TIMEOUT_ONCE, Link};
-use crate::relay::output::append;
+use crate::relay::output::{WriteEnd, append};
 use crate::relay::read::{READ_BUDGET, ReadEnd, read_available};
 use crate::relay::sockets;
 use crate::relay::timers::Owner;
@@ -153,9 +153,10 @@
 
     fn flush_link(&mut self, index: usize) {
         let link = &mut self.links[index];
-        // The endpoint may have answered before the connection broke; reading finds out.
-        let (sent, _) = link.out.write_to(&mut link.sock);
+        // The endpoint may have answered before the connection broke: what it sent is still to be read.
+        let (sent, end) = link.out.write_to(&mut link.sock);
         link.wrote |= sent > 0;
+        link.reset |= end == WriteEnd::Reset;
     }
 
     fn read_link(&mut self, index: usize) {
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -58,6 +58,8 @@
     pub(super) held: Held,
     /// True once a byte of the request has been written to the socket.
     pub(super) wrote: bool,
+    /// A write has found that the connection was reset: no end that is read later is in order.
+    pub(super) reset: bool,
     pub(super) input: Vec<u8>,
     pub(super) caller: Option<CallerRef>,
     pub(super) method: String,
@@ -96,6 +98,7 @@
             out: Unsent::default(),
             held: Held::default(),
             wrote: false,
+            reset: false,
             input: Vec::new(),
             caller: None,
             method: String::new(),
--- a/src/relay/output.rs
+++ b/src/relay/output.rs
@@ -23,6 +23,17 @@
     }
 }
 
+/// State of a connection after a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum WriteEnd {
+    /// It is usable.
+    Usable,
+    /// The receiver had closed it in order, or it was found broken before.
+    Closed,
+    /// It was reset, or failed otherwise. Reading may not find out: the kernel reports this only once.
+    Reset,
+}
+
 /// Bytes that a socket has not taken yet.
 #[derive(Debug, Default)]
 pub(super) struct Unsent {
@@ -70,21 +81,19 @@
         append(&mut self.bytes, bytes, usize::MAX);
     }
 
-    /// Writes as much as `sock` takes. Returns the number of bytes written, and whether the connection
-    /// is usable.
-    pub(super) fn write_to(&mut self, sock: &mut impl Write) -> (usize, bool) {
-        let (sent, usable) = write_available(sock, &self.bytes[self.sent..]);
+    /// Writes as much as `sock` takes. Returns the number of bytes written.
+    pub(super) fn write_to(&mut self, sock: &mut impl Write) -> (usize, WriteEnd) {
+        let (sent, end) = write_available(sock, &self.bytes[self.sent..]);
         self.sent += sent;
         if self.is_empty() {
             *self = Self::default();
         }
-        (sent, usable)
+        (sent, end)
     }
 }
 
-/// Writes as much of `bytes` as `sock` takes. Returns the number of bytes written, and whether the
-/// connection is usable.
-pub(super) fn write_available(sock: &mut impl Write, bytes: &[u8]) -> (usize, bool) {
+/// Writes as much of `bytes` as `sock` takes. Returns the number of bytes written.
+pub(super) fn write_available(sock: &mut impl Write, bytes: &[u8]) -> (usize, WriteEnd) {
     let mut sent = 0;
     while sent < bytes.len() {
         match sock.write(&bytes[sent..]) {
@@ -92,9 +101,10 @@
             Err(e) => match e.kind() {
                 ErrorKind::WouldBlock => break,
                 ErrorKind::Interrupted => {}
-                _ => return (sent, false),
+                ErrorKind::BrokenPipe => return (sent, WriteEnd::Closed),
+                _ => return (sent, WriteEnd::Reset),
             },
         }
     }
-    (sent, true)
+    (sent, WriteEnd::Usable)
 }
