Answers without a body keep the length that their endpoint gave

Callers saw: "Content-Length: 0" on every 204, 304 and answer to HEAD.

Cause: the length for the caller was always that of the body read, which is empty for these.

Change: none for 204; the endpoint's, if it gave one, for 304 and HEAD; otherwise as before.

--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -362,7 +362,9 @@
         let mut out = self.response_head(index);
         let link = &self.links[index];
         let status = link.head.as_ref().map_or(0, |h| h.status);
-        wire::put_header(&mut out, "Content-Length", link.body.len().to_string().as_bytes());
+        if let Some(length) = forwarded_length(link) {
+            wire::put_header(&mut out, "Content-Length", length.to_string().as_bytes());
+        }
         let close = self.should_close(caller);
         if close {
             wire::put_header(&mut out, "Connection", b"close");
@@ -423,6 +425,18 @@
     }
 }
 
+/// `Content-Length` of a complete response for the caller: none where the status allows none, the
+/// endpoint's where there is no body by the method or the status, otherwise that of the body.
+fn forwarded_length(link: &Link) -> Option<u64> {
+    let head = link.head.as_ref()?;
+    match head.status {
+        204 => None,
+        304 => wire::response_length(head).ok().flatten(),
+        _ if wire::is_head(&link.method) => wire::response_length(head).ok().flatten(),
+        _ => Some(link.body.len() as u64),
+    }
+}
+
 /// True unless the response states that its body is something else than events.
 fn has_events(head: &Head) -> bool {
     head.get("content-type")
--- a/src/relay/wire/mod.rs
+++ b/src/relay/wire/mod.rs
@@ -174,7 +174,7 @@
 }
 
 /// The same for a response, of which RFC 9112, section 6.3, accepts a list of equal values.
-fn response_length(head: &Head) -> Result<Option<u64>, Flaw> {
+pub fn response_length(head: &Head) -> Result<Option<u64>, Flaw> {
     let mut found = None;
     for list in lengths(head) {
         let values = list?.split(',').map(|v| parse_length(v.trim_matches(OWS)));
@@ -205,6 +205,11 @@
     }
 }
 
+/// True for the method whose responses have no body, whatever their headers say.
+pub fn is_head(method: &str) -> bool {
+    method.eq_ignore_ascii_case("HEAD")
+}
+
 /// Framing of the body of a response to a request with `method`. A response that announces a body where
 /// its status allows none is rejected.
 pub fn response_framing(head: &Head, method: &str) -> Result<Framing, MessageError> {
@@ -213,7 +218,7 @@
         (_, true, Some(_)) | (100..200 | 204, true, _) => Err(Flaw::Framing.into()),
         (100..200 | 204 | 205, _, Some(1..)) => Err(Flaw::Framing.into()),
         (100..200 | 204 | 304, _, _) => Ok(Framing::Length(0)),
-        _ if method.eq_ignore_ascii_case("HEAD") => Ok(Framing::Length(0)),
+        _ if is_head(method) => Ok(Framing::Length(0)),
         (_, true, None) => Ok(Framing::Chunked),
         (_, false, Some(n)) => Ok(Framing::Length(n)),
         (_, false, None) => Ok(Framing::Close),
