--- a/platform/tests/stand/raw.rs
+++ b/tests/common/raw.rs
@@ -2,8 +2,7 @@
 
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
-
-use super::runner::reset;
+use std::time::Duration;
 
 /// Stands for the header lines that a sound answer has: the id of the attempt and the seal.
 const OWN: &[u8] = b"{own}";
@@ -39,9 +38,8 @@
         Self { bytes, end: End::Reset }
     }
 
-    /// Sends the answer. Returns true if the connection goes on.
-    pub fn send(self, sock: &mut TcpStream, headers: &[(&str, &str)]) -> bool {
-        let own: String = headers.iter().map(|(n, v)| format!("{n}: {v}\r\n")).collect();
+    /// Sends the answer with the header lines `own`. Returns true if the connection goes on.
+    pub fn send(self, sock: &mut TcpStream, own: &str) -> bool {
         let written = sock.write_all(&replaced(self.bytes, own.as_bytes())).is_ok();
         match self.end {
             End::Kept => written,
@@ -59,3 +57,9 @@
     let Some(at) = bytes.windows(OWN.len()).position(|w| w == OWN) else { return bytes.to_vec() };
     [&bytes[..at], own, &bytes[at + OWN.len()..]].concat()
 }
+
+/// Makes the connection close with a TCP reset.
+pub fn reset(sock: &TcpStream) -> bool {
+    rustix::net::sockopt::set_socket_linger(sock, Some(Duration::ZERO)).unwrap();
+    false
+}
