--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`policy`] and [`fleet`] make decisions and do no I/O. [`adapter`] holds the clients and the
 //! server for everything outside the process. [`entry`] combines them into the process that serves
-//! callers. [`relay`] is an HTTP/1.1 proxy for routes of any kind.
+//! callers. [`relay`] is an HTTP/1.1 proxy for routes of any kind. [`wire`] parses HTTP/1.1 messages.
 
 #[macro_use]
 pub mod macros;
@@ -19,3 +19,4 @@
 pub mod policy;
 pub mod relay;
 pub mod standin;
+pub mod wire;
--- a/src/relay/caller.rs
+++ b/src/relay/caller.rs
@@ -6,8 +6,8 @@
 use super::exchange::Exchange;
 use super::output::{Unsent, append, trim};
 use super::read::READ_BUDGET;
-use super::wire::{self, Decoder, Head, MessageError, Step};
 use crate::adapter::clock::Millis;
+use crate::wire::{self, Decoder, Head, MessageError, Step};
 
 /// Maximum bytes read ahead while a request is in flight or its response has not been taken.
 const READ_AHEAD: usize = 4 << 10;
--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -14,7 +14,7 @@
 use crate::relay::sse::Events;
 use crate::relay::stats::RouteLabels;
 use crate::relay::table::RouteKind;
-use crate::relay::wire::{self, Decoder, Flaw, Head, MessageError, Step};
+use crate::wire::{self, Decoder, Flaw, Head, MessageError, Step};
 
 /// Maximum size of a response's head, in bytes.
 const HEAD_LIMIT: usize = 64 << 10;
--- a/src/relay/driver/callers.rs
+++ b/src/relay/driver/callers.rs
@@ -14,7 +14,7 @@
 use crate::relay::output::{WriteEnd, append, write_available};
 use crate::relay::read::{ReadEnd, read_available};
 use crate::relay::timers::Owner;
-use crate::relay::wire::{self, MessageError};
+use crate::wire::{self, MessageError};
 
 /// Maximum connections that are accepted in one turn of the event loop.
 const MAX_ACCEPTS: usize = 256;
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -10,11 +10,11 @@
 use super::queue::QueueKey;
 use super::sse::Splitter;
 use super::table::{Route, RouteKind, Workspace};
-use super::wire::{self, Head};
 use crate::adapter::clock::Millis;
 use crate::policy::fair;
 use crate::policy::place::{Block, Placement, Requirements};
 use crate::policy::suspect::{Content, segment_content};
+use crate::wire::{self, Head};
 
 /// Number of the least urgent priority that engines support; 0 is the most urgent.
 const LOWEST_PRIORITY: u8 = 9;
--- a/src/relay/fault.rs
+++ b/src/relay/fault.rs
@@ -1,6 +1,6 @@
 //! Why the response of an endpoint is not passed on.
 
-use super::wire::MessageError;
+use crate::wire::MessageError;
 
 /// What is wrong with a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
--- a/src/relay/link.rs
+++ b/src/relay/link.rs
@@ -5,8 +5,8 @@
 
 use super::budget::Held;
 use super::output::{Unsent, trim};
-use super::wire::{Decoder, Head};
 use crate::adapter::clock::Millis;
+use crate::wire::{Decoder, Head};
 
 /// Timeout for opening a connection, in milliseconds.
 pub(super) const CONNECT_TIMEOUT: u64 = 400;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -1,7 +1,8 @@
 //! The relay: an HTTP/1.1 proxy between callers and endpoints, for routes of any kind.
 //!
-//! One thread runs an event loop over all connections, which are small state machines. [`wire`]
-//! parses messages, [`crate::policy::place`] chooses endpoints, and [`driver`] connects the two.
+//! One thread runs an event loop over all connections, which are small state machines.
+//! [`crate::wire`] parses messages, [`crate::policy::place`] chooses endpoints, and [`driver`]
+//! connects the two.
 
 pub mod budget;
 pub mod caller;
@@ -25,4 +26,3 @@
 pub mod stats;
 pub mod table;
 mod timers;
-pub mod wire;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,7 +3,9 @@
 //! proxies sit on the connections to the log, to the endpoints and between peers.
 #![allow(dead_code, unreachable_pub, clippy::unwrap_used, clippy::expect_used)]
 
+pub mod answers;
 mod cases;
+pub mod raw;
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -25,7 +25,7 @@
 use sassafrasworks::relay::sse::{Events, Splitter};
 use sassafrasworks::relay::state::{PeerOffsets, Shared};
 use sassafrasworks::relay::table::{Route, RouteKind, RoutingTable, Service};
-use sassafrasworks::relay::wire::{self, Decoder, Framing, MessageError, Step};
+use sassafrasworks::wire::{self, Decoder, Framing, MessageError, Step};
 
 /// Maximum size of a head, in bytes.
 const LIMIT: usize = 16 << 10;
