Calls to the store, peers and the entry's endpoints check their answers too

Some of the others ended only at the time-out. A status of 600 counted as a refusal without effect, so that an append could be repeated; a 302 to a POST was followed by GETs, ten in a row. Sound answers with odd chunk extensions failed.

Cause: the library (ureq) was taken on trust. It tolerates these, and takes a reset for the end of a body without a length.

Change: its connections are ours now (adapter/transport.rs, TCP only): each byte of an answer goes through the relay's parser (wire/response.rs) before ureq sees it, and a failed read is never an end. Redirects are not followed. Handled before already, the tests stay: a reset while an upload is written (the write's error fails the call), and a second answer on a kept connection.

--- a/src/adapter/endpoint.rs
+++ b/src/adapter/endpoint.rs
@@ -12,15 +12,13 @@
 use std::time::{Duration, Instant};
 
 use ureq::unversioned::resolver::DefaultResolver;
-use ureq::unversioned::transport::{
-    Buffers, ConnectionDetails, Connector, NextTimeout, TcpConnector, Transport,
-};
+use ureq::unversioned::transport::{Buffers, ConnectionDetails, Connector, NextTimeout, Transport};
 use ureq::{Agent, Timeout};
 
+use super::transport::{BUFFER_SIZE, CheckedConnector};
+
 /// How often a call that waits for input checks for cancellation.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Size of the input and of the output buffer of a connection, in bytes each.
-const BUFFER_SIZE: usize = 16 << 10;
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Largest response body that is read as a whole, in bytes.
@@ -119,7 +117,7 @@
         .output_buffer_size(BUFFER_SIZE)
         .proxy(None)
         .build();
-    let connector = TcpConnector::default().chain(CancellableConnector(Arc::clone(control)));
+    let connector = CheckedConnector.chain(CancellableConnector(Arc::clone(control)));
     let agent = Agent::with_parts(config, connector, DefaultResolver::default());
     let mut request = ureq::http::Request::builder()
         .method(call.method)
@@ -205,6 +203,7 @@
             AttemptError::ConnectFailed
         }
         K::TimedOut | K::WouldBlock => AttemptError::Timeout,
+        K::InvalidData => AttemptError::InvalidResponse,
         _ => AttemptError::ConnectionLost,
     }
 }
--- a/src/adapter/http.rs
+++ b/src/adapter/http.rs
@@ -7,13 +7,13 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use ureq::Agent;
+use ureq::unversioned::resolver::DefaultResolver;
 
 use super::codec;
+use super::transport::{BUFFER_SIZE, CheckedConnector};
 
 /// Largest response body accepted from a peer or the platform, in bytes.
 const BODY_LIMIT: u64 = 64 << 20;
-/// Size of the input and of the output buffer of a connection, in bytes each.
-const BUFFER_SIZE: usize = 16 << 10;
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -50,15 +50,17 @@
 impl Client {
     /// A client whose calls time out after `timeout` milliseconds.
     pub fn new(timeout: u64) -> Self {
-        let agent = Agent::config_builder()
+        let config = Agent::config_builder()
             .timeout_global(Some(Duration::from_millis(timeout)))
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .http_status_as_error(false)
+            .max_redirects(0)
+            .max_redirects_will_error(false)
             .input_buffer_size(BUFFER_SIZE)
             .output_buffer_size(BUFFER_SIZE)
             .proxy(None)
-            .build()
-            .new_agent();
+            .build();
+        let agent = Agent::with_parts(config, CheckedConnector, DefaultResolver::default());
         Self { agent }
     }
 
--- a/src/adapter/mod.rs
+++ b/src/adapter/mod.rs
@@ -9,3 +9,4 @@
 pub mod log;
 pub mod room;
 pub mod serve;
+pub mod transport;
--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -24,10 +24,6 @@
 const GAP_EVENTS: u64 = 2;
 /// Maximum size of a body that is not a stream, in bytes.
 const BODY_LIMIT: usize = 16 << 20;
-/// Status that ends the use of HTTP on a connection; no request asks for it.
-const SWITCHING_PROTOCOLS: u16 = 101;
-/// Status of a response that has no content, whatever its headers say.
-const RESET_CONTENT: u16 = 205;
 
 /// Result of parsing the next bytes of a connection.
 enum ParseStep {
@@ -141,7 +137,7 @@
             let within = link.skip_bytes(data.len());
             return if within { ParseStep::Continue } else { Fault::Skipped.into() };
         }
-        if link.head.as_ref().is_some_and(|h| h.status == RESET_CONTENT) {
+        if link.head.as_ref().is_some_and(|h| !wire::allows_content(h.status)) {
             return MessageError::from(Flaw::Framing).into();
         }
         if self.is_event_stream(index) {
@@ -484,9 +480,6 @@
         Ok(framing) => framing,
         Err(e) => return e.into(),
     };
-    if head.status == SWITCHING_PROTOCOLS {
-        return Fault::Upgrade.into();
-    }
     if (100..200).contains(&head.status) {
         turn.skipped += 1;
         return if link.skip_response() { ParseStep::Continue } else { Fault::Skipped.into() };
--- a/src/relay/fault.rs
+++ b/src/relay/fault.rs
@@ -8,9 +8,6 @@
     /// It is malformed or too large.
     #[error(transparent)]
     Message(#[from] MessageError),
-    /// It switches to another protocol, which was not asked for.
-    #[error("unexpected upgrade")]
-    Upgrade,
     /// Too many interim responses, or responses to other requests, come before it.
     #[error("too much before the response")]
     Skipped,
--- a/src/wire/error.rs
+++ b/src/wire/error.rs
@@ -9,6 +9,12 @@
     /// The status code is not from 100 to 599.
     #[error("status code")]
     StatusCode,
+    /// The protocol changes, which was not asked for.
+    #[error("upgrade")]
+    Upgrade,
+    /// Too many interim responses come before the final one.
+    #[error("interim responses")]
+    Interim,
     /// The name of a field is missing or has a byte that is not allowed there.
     #[error("field name")]
     FieldName,
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -3,9 +3,11 @@
 mod decoder;
 mod error;
 mod grammar;
+mod response;
 
 pub use decoder::{Decoder, Step};
 pub use error::{Flaw, MessageError};
+pub use response::{Part, ResponseReader};
 
 use grammar::{OWS, check_response_head};
 
@@ -210,11 +212,17 @@
     method.eq_ignore_ascii_case("HEAD")
 }
 
+/// True if a response with `status` may have content. Others that may not have no framing for it.
+pub fn allows_content(status: u16) -> bool {
+    status != 205
+}
+
 /// Framing of the body of a response to a request with `method`. A response that announces a body where
-/// its status allows none is rejected.
+/// its status allows none is rejected, and so is a change of protocol, which no request asks for.
 pub fn response_framing(head: &Head, method: &str) -> Result<Framing, MessageError> {
     let (chunked, length) = (is_chunked(head)?, response_length(head)?);
     match (head.status, chunked, length) {
+        (101, _, _) => Err(Flaw::Upgrade.into()),
         (_, true, Some(_)) | (100..200 | 204, true, _) => Err(Flaw::Framing.into()),
         (100..200 | 204 | 205, _, Some(1..)) => Err(Flaw::Framing.into()),
         (100..200 | 204 | 304, _, _) => Ok(Framing::Length(0)),
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -4,14 +4,53 @@
 
 mod common;
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+
 use common::answers::{
     Broken, Sound, broken, cut, ends_with_its_connection, of_status, reset, sound, to_head,
 };
-use common::free_addr;
-use common::raw::RawServer;
+use common::raw::{Raw, RawServer};
+use common::{free_addr, sleep_ms};
 
 /// Timeout of a call, in milliseconds.
 const TIMEOUT: u64 = 10_000;
+/// Body of an upload, in bytes: more than the buffers of both sockets take.
+const UPLOAD: usize = 16 << 20;
+/// Uploads in a row.
+const ROUNDS: usize = 20;
+/// Time after which a second answer comes, in milliseconds.
+const LATE_MS: u64 = 50;
+
+/// A server that answers an upload once its head has arrived, and resets the connection. Nothing of the
+/// body is read.
+fn early_server() -> SocketAddr {
+    let raw = Raw::reset(b"HTTP/1.1 200 X\r\n\r\npart");
+    let addr = free_addr();
+    let listener = TcpListener::bind(addr).unwrap();
+    thread::spawn(move || {
+        for mut sock in listener.incoming().flatten() {
+            let _ = sock.read(&mut [0; 1_024]);
+            raw.send(&mut sock, "");
+        }
+    });
+    addr
+}
+
+/// A server that answers each request with its number, and a moment later once more.
+fn repeating_server() -> RawServer {
+    let served = Arc::new(AtomicU32::new(0));
+    RawServer::with(free_addr(), move |sock| {
+        let n = served.fetch_add(1, Ordering::SeqCst);
+        let answer = format!("HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\n{n}");
+        sock.write_all(answer.as_bytes()).unwrap();
+        sleep_ms(LATE_MS);
+        sock.write_all(answer.as_bytes()).is_ok()
+    })
+}
 
 /// The client of peers, the platform's store and load reports.
 mod calls {
@@ -54,6 +93,24 @@
     malformed_answers!(assert_no_answer);
     short_answers!(assert_no_answer);
     sound_answers!(assert_passes);
+
+    #[test]
+    fn answer_that_is_reset_while_its_upload_is_written_is_not_whole() {
+        let url = format!("http://{}/x", early_server());
+        for _ in 0..ROUNDS {
+            assert_none(&Client::new(TIMEOUT).post(&url, &vec![b'x'; UPLOAD]), "");
+        }
+    }
+
+    #[test]
+    fn second_answer_is_not_taken_for_the_next_call() {
+        let server = repeating_server();
+        let (client, url) = (Client::new(TIMEOUT), format!("http://{}/x", server.addr));
+        for n in 0..5 {
+            assert_eq!(client.get(&url).unwrap(), n.to_string().as_bytes());
+            sleep_ms(2 * LATE_MS);
+        }
+    }
 }
 
 /// Calls of `sassafras-entry` to endpoints.
@@ -94,4 +151,18 @@
     malformed_answers!(assert_no_answer);
     short_answers!(assert_no_answer);
     sound_answers!(assert_passes);
+
+    #[test]
+    fn answer_that_is_reset_while_its_upload_is_written_is_not_whole() {
+        let addr = early_server().to_string();
+        for _ in 0..ROUNDS {
+            let control = CallControl::new(TIMEOUT, TIMEOUT, Box::new(|| false));
+            let body = vec![b'x'; UPLOAD];
+            let request =
+                Call { addr: &addr, method: "POST", path: "/x", headers: &[], body: &body };
+            let got = call(&request, &control).and_then(|r| r.read_body());
+            assert_eq!(got.unwrap_err(), AttemptError::ConnectionLost);
+            assert!(control.sent());
+        }
+    }
 }
