Bodies without end from the store or a peer stay within the memory of the process

A process of 80 MB held 140 MB (a peer: 74 MB); the platform would have ended it, and all requests on its machine with it.

Cause: one limit of 64 MB for all bodies, far over what any of them holds and over the memory of small machines.

--- a/src/adapter/http.rs
+++ b/src/adapter/http.rs
@@ -12,8 +12,9 @@
 use super::codec;
 use super::transport::{BUFFER_SIZE, CheckedConnector};
 
-/// Largest response body accepted from a peer or the platform, in bytes.
-const BODY_LIMIT: u64 = 64 << 20;
+/// Largest body of a response with a status other than 2xx, in bytes, and the part of it that is kept.
+const ERROR_BODY_LIMIT: u64 = 64 << 10;
+const ERROR_TEXT_LIMIT: usize = 1 << 10;
 /// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -45,11 +46,14 @@
 #[derive(Debug, Clone)]
 pub struct Client {
     agent: Agent,
+    /// Largest body of a response, in bytes.
+    body_limit: u64,
 }
 
 impl Client {
-    /// A client whose calls time out after `timeout` milliseconds.
-    pub fn new(timeout: u64) -> Self {
+    /// A client whose calls time out after `timeout` milliseconds and fail if the body of a response is
+    /// larger than `body_limit` bytes. Each call may hold as much in memory.
+    pub fn new(timeout: u64, body_limit: u64) -> Self {
         let config = Agent::config_builder()
             .timeout_global(Some(Duration::from_millis(timeout)))
             .timeout_connect(Some(CONNECT_TIMEOUT))
@@ -61,24 +65,25 @@
             .proxy(None)
             .build();
         let agent = Agent::with_parts(config, CheckedConnector, DefaultResolver::default());
-        Self { agent }
+        Self { agent, body_limit }
     }
 
     /// Sends a GET and returns the body of a 2xx response.
     pub fn get(&self, url: &str) -> Result<Vec<u8>, CallError> {
-        read_response(self.agent.get(url).call())
+        self.read_response(self.agent.get(url).call())
     }
 
     /// Like [`Client::get`], but with a timeout of `timeout` milliseconds, for calls on which the
     /// server waits for new data.
     pub fn get_with_timeout(&self, url: &str, timeout: u64) -> Result<Vec<u8>, CallError> {
         let request = self.agent.get(url).config();
-        read_response(request.timeout_global(Some(Duration::from_millis(timeout))).build().call())
+        let request = request.timeout_global(Some(Duration::from_millis(timeout))).build();
+        self.read_response(request.call())
     }
 
     /// Posts raw bytes and returns the body of a 2xx response.
     pub fn post(&self, url: &str, body: &[u8]) -> Result<Vec<u8>, CallError> {
-        read_response(self.agent.post(url).header("content-type", codec::MSGPACK).send(body))
+        self.read_response(self.agent.post(url).header("content-type", codec::MSGPACK).send(body))
     }
 
     /// Sends a GET and decodes the JSON response.
@@ -99,25 +104,30 @@
     ) -> Result<A, CallError> {
         codec::unpack(&self.post(url, &codec::pack(value))?).map_err(invalid_response)
     }
+
+    /// The body of a 2xx response.
+    fn read_response(
+        &self,
+        result: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
+    ) -> Result<Vec<u8>, CallError> {
+        let mut response = result.map_err(|e| classify(&e))?;
+        let status = response.status().as_u16();
+        let accepted = (200..300).contains(&status);
+        let limit = if accepted { self.body_limit } else { ERROR_BODY_LIMIT };
+        let body = response.body_mut().with_config().limit(limit).read_to_vec();
+        let mut body = body.map_err(|e| CallError::NoResponse(e.to_string()))?;
+        if accepted {
+            return Ok(body);
+        }
+        body.truncate(ERROR_TEXT_LIMIT);
+        Err(CallError::Status { status, text: String::from_utf8_lossy(&body).into_owned() })
+    }
 }
 
 fn invalid_response(e: impl Display) -> CallError {
     CallError::InvalidResponse(e.to_string())
 }
 
-fn read_response(
-    result: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
-) -> Result<Vec<u8>, CallError> {
-    let mut response = result.map_err(|e| classify(&e))?;
-    let status = response.status().as_u16();
-    let body = response.body_mut().with_config().limit(BODY_LIMIT).read_to_vec();
-    let body = body.map_err(|e| CallError::NoResponse(e.to_string()))?;
-    if (200..300).contains(&status) {
-        return Ok(body);
-    }
-    Err(CallError::Status { status, text: String::from_utf8_lossy(&body).into_owned() })
-}
-
 fn classify(e: &ureq::Error) -> CallError {
     let connect_failed = match e {
         ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => true,
--- a/src/adapter/list.rs
+++ b/src/adapter/list.rs
@@ -6,6 +6,8 @@
 
 /// Timeout of a request for the list, in milliseconds.
 const TIMEOUT: u64 = 1_000;
+/// Largest list, in bytes.
+const LIST_LIMIT: u64 = 8 << 20;
 
 closed! {
     /// Kind of an instance.
@@ -57,7 +59,7 @@
 impl ListClient {
     /// A client of the list served at `addr`.
     pub fn new(addr: SocketAddr) -> Self {
-        Self { url: format!("http://{addr}/instances"), client: Client::new(TIMEOUT) }
+        Self { url: format!("http://{addr}/instances"), client: Client::new(TIMEOUT, LIST_LIMIT) }
     }
 
     /// Fetches the current list.
--- a/src/adapter/log.rs
+++ b/src/adapter/log.rs
@@ -10,6 +10,10 @@
 const APPEND_TIMEOUT: u64 = 2_000;
 /// Time that a read may take beyond the server's wait for records, in milliseconds.
 const READ_MARGIN: u64 = 2_000;
+/// Largest response to an append, in bytes.
+const APPEND_BODY_LIMIT: u64 = 64 << 10;
+/// Largest response to a read, in bytes.
+const PAGE_LIMIT: u64 = 32 << 20;
 /// Longest time that a long-polling read may ask the server to wait for records, in milliseconds.
 pub const READ_WAIT: u64 = 1_000;
 
@@ -59,8 +63,8 @@
     pub fn new(addr: SocketAddr) -> Self {
         Self {
             base_url: format!("http://{addr}/log"),
-            appends: Client::new(APPEND_TIMEOUT),
-            reads: Client::new(READ_WAIT + READ_MARGIN),
+            appends: Client::new(APPEND_TIMEOUT, APPEND_BODY_LIMIT),
+            reads: Client::new(READ_WAIT + READ_MARGIN, PAGE_LIMIT),
         }
     }
 
--- a/src/cmd/ctl/mod.rs
+++ b/src/cmd/ctl/mod.rs
@@ -34,6 +34,8 @@
 
 /// Timeout of a call to an instance, in milliseconds.
 const CALL_TIMEOUT: u64 = 2_000;
+/// Largest response, in bytes.
+const BODY_LIMIT: u64 = 64 << 20;
 
 /// Runs the subcommand given in the arguments.
 pub fn run(args: &[String]) -> Result<(), CliError> {
@@ -86,7 +88,7 @@
 }
 
 fn client() -> Client {
-    Client::new(CALL_TIMEOUT)
+    Client::new(CALL_TIMEOUT, BODY_LIMIT)
 }
 
 /// The single positional argument of a subcommand.
--- a/src/entry/admin.rs
+++ b/src/entry/admin.rs
@@ -15,6 +15,8 @@
 
 /// Largest request body accepted, in bytes.
 const BODY_LIMIT: u64 = 8 << 20;
+/// Timeout of a call to the peer that remembers a request, in milliseconds.
+const EXPLAIN_TIMEOUT: u64 = 1_000;
 
 /// Starts the server, which runs until the instance stops. Fails if the address can't be bound.
 pub fn start(entry: &Arc<Entry>) -> io::Result<()> {
@@ -111,7 +113,7 @@
         let text = "no instance that is alive remembers this request";
         return Response::json(&json!({ "error": text })).with_status_code(404);
     };
-    let client = crate::adapter::http::Client::new(1_000);
+    let client = crate::adapter::http::Client::new(EXPLAIN_TIMEOUT, BODY_LIMIT);
     match client.get(&format!("http://{}/explain/{id}?hop=1", instance.admin)) {
         Ok(body) => Response::from_data("application/json", body),
         Err(e) => Response::json(&json!({ "error": e.to_string() })).with_status_code(404),
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -20,6 +20,8 @@
 
 /// Timeout of a call to a peer, in milliseconds.
 const CALL_TIMEOUT: u64 = 1_500;
+/// Largest response of a peer, in bytes: it may hold an endpoint's response of up to 8 MB.
+const BODY_LIMIT: u64 = 10 << 20;
 /// Time for which a boot id is remembered after its last heartbeat, in milliseconds.
 const BOOT_RETENTION: u64 = 3_600_000;
 /// An instance whose last heartbeat came at most this long before a point in time may have been
@@ -64,7 +66,7 @@
             exchanging: Mutex::default(),
             seq: Mutex::default(),
             lost: Mutex::default(),
-            client: Client::new(CALL_TIMEOUT),
+            client: Client::new(CALL_TIMEOUT, BODY_LIMIT),
         }
     }
 }
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -13,6 +13,8 @@
 
 /// Timeout of a request for a load report, in milliseconds.
 const REPORT_TIMEOUT: u64 = 1_000;
+/// Largest load report, in bytes.
+const REPORT_LIMIT: u64 = 256 << 10;
 /// Interval between reads of the instance list, in milliseconds.
 const LIST_INTERVAL: u64 = 1_000;
 /// Interval between two checks whether an endpoint has been polled, in milliseconds.
@@ -128,7 +130,7 @@
 
 /// Polls the load reports of one endpoint until it is no longer listed.
 fn poll(entry: &Arc<Entry>, name: &str) {
-    let client = Client::new(REPORT_TIMEOUT);
+    let client = Client::new(REPORT_TIMEOUT, REPORT_LIMIT);
     while !entry.stopped() {
         let Some(instance) = entry.listed_instance(name) else { return };
         if poll_once(entry, &client, &instance) {
@@ -176,7 +178,7 @@
 /// Checks by a load report whether an endpoint has crashed. `boot` is the incarnation in which it
 /// was last known; if it is empty, any report counts as alive.
 pub fn check_liveness(addr: &str, boot: &str) -> Liveness {
-    match read_report(&Client::new(REPORT_TIMEOUT), addr) {
+    match read_report(&Client::new(REPORT_TIMEOUT, REPORT_LIMIT), addr) {
         Ok(report) if boot.is_empty() || report.boot == boot => Liveness::Alive,
         Ok(_) | Err(_) => Liveness::Crashed,
     }
--- a/src/load/demo.rs
+++ b/src/load/demo.rs
@@ -6,6 +6,7 @@
 use serde_json::Value;
 
 use super::client::{Caller, chat_body};
+use super::{CONTROL_LIMIT, CONTROL_TIMEOUT};
 use crate::adapter::clock::Clock;
 use crate::adapter::http::Client;
 use crate::standin::engine;
@@ -32,7 +33,11 @@
 impl Demo {
     /// Creates a demo; `control` is the control address of the stand-ins.
     pub fn new(control: SocketAddr) -> Self {
-        Self { control, client: Client::new(2_000), clock: Clock::system() }
+        Self {
+            control,
+            client: Client::new(CONTROL_TIMEOUT, CONTROL_LIMIT),
+            clock: Clock::system(),
+        }
     }
 
     /// Runs the steps up to the first that fails and prints a row for each. The error is the name
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -44,6 +44,8 @@
 pub const TOO_LARGE: u16 = 413;
 /// Timeout of a call to a peer, in milliseconds.
 const PEER_TIMEOUT: u64 = 400;
+/// Largest copy of a topic, in bytes: the entries of some 20,000 endpoints.
+const PEER_BODY_LIMIT: u64 = 8 << 20;
 
 /// Why a call to the platform failed.
 #[derive(Debug, thiserror::Error)]
@@ -216,7 +218,7 @@
 /// Copies topics from the seeds at the start, and later from peers that have read further than this
 /// instance. Also removes expired entries whose grace period is over.
 fn catch_up(source: &Arc<dyn Source>, shared: &Arc<Shared>, clock: &Clock, seeds: &[SocketAddr]) {
-    let client = Client::new(PEER_TIMEOUT);
+    let client = Client::new(PEER_TIMEOUT, PEER_BODY_LIMIT);
     clock.sleep(CHECK_INTERVAL);
     while shared.ends() == (0, 0) && !seeds.is_empty() {
         for seed in seeds {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -18,6 +18,8 @@
 
 /// Timeout of a call, in milliseconds.
 const TIMEOUT: u64 = 10_000;
+/// Largest body of an answer, in bytes.
+const BODY_LIMIT: u64 = 1 << 20;
 /// Body of an upload, in bytes: more than the buffers of both sockets take.
 const UPLOAD: usize = 16 << 20;
 /// Uploads in a row.
@@ -66,7 +68,7 @@
 
     fn assert_no_answer(case: &Broken) {
         let server = RawServer::start(free_addr(), case.raw);
-        let (client, url) = (Client::new(TIMEOUT), format!("http://{}/x", server.addr));
+        let (client, url) = (Client::new(TIMEOUT, BODY_LIMIT), format!("http://{}/x", server.addr));
         assert_none(&client.get(&url), case.fault);
         assert_none(&client.post(&url, b"x"), case.fault);
         assert_eq!(server.arrivals(), 2, "a call was repeated");
@@ -77,7 +79,7 @@
             return;
         }
         let server = RawServer::start(free_addr(), case.raw);
-        let (client, url) = (Client::new(TIMEOUT), format!("http://{}/x", server.addr));
+        let (client, url) = (Client::new(TIMEOUT, BODY_LIMIT), format!("http://{}/x", server.addr));
         for got in [client.post(&url, b"x"), client.get(&url)] {
             match got {
                 Ok(body) => assert_eq!((200..300, body), (200..300, case.body.into())),
@@ -98,14 +100,14 @@
     fn answer_that_is_reset_while_its_upload_is_written_is_not_whole() {
         let url = format!("http://{}/x", early_server());
         for _ in 0..ROUNDS {
-            assert_none(&Client::new(TIMEOUT).post(&url, &vec![b'x'; UPLOAD]), "");
+            assert_none(&Client::new(TIMEOUT, BODY_LIMIT).post(&url, &vec![b'x'; UPLOAD]), "");
         }
     }
 
     #[test]
     fn second_answer_is_not_taken_for_the_next_call() {
         let server = repeating_server();
-        let (client, url) = (Client::new(TIMEOUT), format!("http://{}/x", server.addr));
+        let (client, url) = (Client::new(TIMEOUT, BODY_LIMIT), format!("http://{}/x", server.addr));
         for n in 0..5 {
             assert_eq!(client.get(&url).unwrap(), n.to_string().as_bytes());
             sleep_ms(2 * LATE_MS);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -32,6 +32,9 @@
 pub const DOMAINS: [&str; 3] = ["recife", "caruaru", "joao-pessoa"];
 /// Log lines of each instance that a failed test prints.
 const LOG_TAIL: usize = 200;
+/// Timeout of a call to an instance, in milliseconds, and its largest response, in bytes.
+const STATUS_TIMEOUT: u64 = 1_000;
+const PAGE_LIMIT: u64 = 8 << 20;
 /// Timeout of a wait for a condition.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -224,7 +227,9 @@
 
     /// Status page; `None` when the instance does not answer.
     pub fn status(&self) -> Option<Value> {
-        Client::new(1_000).get_json(&format!("http://{}/status", self.admin)).ok()
+        Client::new(STATUS_TIMEOUT, PAGE_LIMIT)
+            .get_json(&format!("http://{}/status", self.admin))
+            .ok()
     }
 
     /// Configuration version in force; 0 when the instance has none or does not answer.
@@ -233,12 +238,15 @@
     }
 
     pub fn ready(&self) -> bool {
-        Client::new(1_000).get(&format!("http://{}/readyz", self.listen)).is_ok()
+        Client::new(STATUS_TIMEOUT, PAGE_LIMIT)
+            .get(&format!("http://{}/readyz", self.listen))
+            .is_ok()
     }
 
     /// Metrics page; empty when the instance does not answer.
     pub fn metrics(&self) -> String {
-        let page = Client::new(1_000).get(&format!("http://{}/metrics", self.admin));
+        let page =
+            Client::new(STATUS_TIMEOUT, PAGE_LIMIT).get(&format!("http://{}/metrics", self.admin));
         String::from_utf8(page.unwrap_or_default()).unwrap()
     }
 
--- a/tests/common/raw.rs
+++ b/tests/common/raw.rs
@@ -69,6 +69,84 @@
     false
 }
 
+/// Bytes without end that are no answer: what comes first, and what is repeated after it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Flood {
+    pub first: &'static [u8],
+    pub piece: &'static [u8],
+}
+
+/// Size of one write of a flood, in bytes.
+const FLOOD_BLOCK: usize = 48 << 10;
+/// Maximum bytes of a flood on one connection.
+const FLOOD_LIMIT: usize = 256 << 20;
+
+/// Head of a body in chunks.
+macro_rules! chunked {
+    ($next:literal) => {
+        concat!("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", $next).as_bytes()
+    };
+}
+
+impl Flood {
+    /// The name of a field that does not end.
+    pub const NAME: Self = Self { first: b"HTTP/1.1 200 X\r\nX", piece: b"x" };
+    /// Fields without end.
+    pub const FIELDS: Self = Self { first: b"HTTP/1.1 200 X\r\n", piece: b"X: 1\r\n" };
+    /// A reason that does not end.
+    pub const REASON: Self = Self { first: b"HTTP/1.1 200 ", piece: b"x" };
+    /// Interim responses without end.
+    pub const INTERIM: Self = Self { first: b"", piece: b"HTTP/1.1 100 X\r\n\r\n" };
+    /// Bytes that begin no answer.
+    pub const NOISE: Self = Self { first: b"", piece: b"\x16\x03\x01 noise " };
+    /// Empty lines without end.
+    pub const EMPTY_LINES: Self = Self { first: b"", piece: b"\r\n" };
+    /// A body without a length that does not end.
+    pub const BODY: Self = Self { first: b"HTTP/1.1 200 X\r\n\r\n", piece: b"0123456789abcdef" };
+    /// The same with a status that is a refusal.
+    pub const REFUSAL: Self = Self { first: b"HTTP/1.1 503 X\r\n\r\n", piece: b"0123456789abcdef" };
+    /// Chunks without end.
+    pub const CHUNKS: Self = Self { first: chunked!(""), piece: b"10\r\n0123456789abcdef\r\n" };
+    /// An extension of a chunk that does not end.
+    pub const EXTENSION: Self = Self { first: chunked!("2;"), piece: b"x" };
+    /// Trailer lines without end.
+    pub const TRAILER: Self = Self { first: chunked!("0\r\n"), piece: b"x: 1\r\n" };
+
+    /// Writes it until the connection is closed, or [`FLOOD_LIMIT`] is reached. Returns false: the
+    /// connection doesn't go on.
+    pub fn send(self, sock: &mut TcpStream) -> bool {
+        let block = self.piece.repeat(FLOOD_BLOCK / self.piece.len());
+        let mut sent = 0;
+        let mut open = sock.write_all(self.first).is_ok();
+        while open && sent < FLOOD_LIMIT {
+            open = sock.write_all(&block).is_ok();
+            sent += block.len();
+        }
+        false
+    }
+}
+
+/// Makes a test of each flood.
+#[macro_export]
+macro_rules! floods {
+    ($run:ident) => {
+        $crate::cases! {
+            $run:
+            name_without_end_is_bounded => Flood::NAME;
+            fields_without_end_are_bounded => Flood::FIELDS;
+            reason_without_end_is_bounded => Flood::REASON;
+            interim_responses_without_end_are_bounded => Flood::INTERIM;
+            noise_without_end_is_bounded => Flood::NOISE;
+            empty_lines_without_end_are_bounded => Flood::EMPTY_LINES;
+            body_without_end_is_bounded => Flood::BODY;
+            refusal_without_end_is_bounded => Flood::REFUSAL;
+            chunks_without_end_are_bounded => Flood::CHUNKS;
+            chunk_extension_without_end_is_bounded => Flood::EXTENSION;
+            trailer_without_end_is_bounded => Flood::TRAILER;
+        }
+    };
+}
+
 /// Maximum size of a request's head, in bytes.
 const HEAD_LIMIT: usize = 16 << 10;
 
