--- a/src/adapter/endpoint.rs
+++ b/src/adapter/endpoint.rs
@@ -16,6 +16,7 @@
 use ureq::{Agent, Timeout};
 
 use super::transport::{BUFFER_SIZE, CheckedConnector};
+use crate::wire::MessageError;
 
 /// How often a call that waits for input checks for cancellation.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -79,6 +80,9 @@
     /// The response could not be understood, was too large or belongs to another attempt.
     #[error("bad answer")]
     InvalidResponse,
+    /// The protocol doesn't allow the response.
+    #[error("bad answer: {0}")]
+    Malformed(MessageError),
 }
 
 /// A request to an endpoint.
@@ -192,6 +196,9 @@
     if let Some(Cancelled) = e.get_ref().and_then(|r| r.downcast_ref::<Cancelled>()) {
         return AttemptError::Cancelled;
     }
+    if let Some(error) = e.get_ref().and_then(|r| r.downcast_ref::<MessageError>()) {
+        return AttemptError::Malformed(*error);
+    }
     let inner = e.get_ref().and_then(|r| r.downcast_ref::<ureq::Error>());
     match inner {
         Some(ureq::Error::Timeout(_)) => return AttemptError::Timeout,
@@ -203,7 +210,6 @@
             AttemptError::ConnectFailed
         }
         K::TimedOut | K::WouldBlock => AttemptError::Timeout,
-        K::InvalidData => AttemptError::InvalidResponse,
         _ => AttemptError::ConnectionLost,
     }
 }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -263,6 +263,8 @@
                 )
             }
             AttemptResult::Failed { error, sent, resume_from } => {
+                let (id, endpoint) = (&self.spec.id, &grant.endpoint);
+                tracing::info!(id, endpoint, sent, resume_from, "entry: attempt failed: {error}");
                 let (decision, outcome) = self.record_failure(grant, error, sent, resume_from);
                 (
                     NextAction::Unfinished(decision),
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -134,12 +134,12 @@
     fn assert_no_answer(case: &Broken) {
         let server = RawServer::start(free_addr(), case.raw);
         for method in ["POST", "GET"] {
-            let error = ask(&server, method).unwrap_err();
-            let expected = match case.fault {
-                "" => AttemptError::ConnectionLost,
-                _ => AttemptError::InvalidResponse,
-            };
-            assert_eq!(error, expected);
+            match ask(&server, method).unwrap_err() {
+                AttemptError::Malformed(error) => {
+                    assert!(!case.fault.is_empty() && error.to_string().contains(case.fault));
+                }
+                error => assert_eq!((error, case.fault), (AttemptError::ConnectionLost, "")),
+            }
         }
         assert_eq!(server.arrivals(), 2, "a call was repeated");
     }
