--- a/src/adapter/transport.rs
+++ b/src/adapter/transport.rs
@@ -144,7 +144,7 @@
             return Ok(true);
         }
         self.sock.set_read_timeout(limit(timeout))?;
-        let n = self.sock.read(&mut self.block).map_err(|e| broken(e, timeout))?;
+        let n = read(&mut self.sock, &mut self.block).map_err(|e| broken(e, timeout))?;
         if n == 0 {
             return Ok(self.closed()?);
         }
@@ -160,6 +160,16 @@
     }
 }
 
+/// Reads what has arrived. A process that was suspended meanwhile reads again.
+fn read(sock: &mut TcpStream, block: &mut [u8]) -> io::Result<usize> {
+    loop {
+        match sock.read(block) {
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            other => return other,
+        }
+    }
+}
+
 /// True if the connection is open and there is nothing to read.
 fn is_quiet(sock: &TcpStream) -> bool {
     if sock.set_nonblocking(true).is_err() {
