--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -154,12 +154,20 @@
     /// Discards a response that belongs to another request. Returns false if there are too many.
     fn skip_foreign(&mut self, index: usize) -> bool {
         self.turn.skipped += 1;
+        let id = self.attempt_of(index);
+        let endpoint = &self.links[index].endpoint;
+        tracing::info!(id, endpoint, "relay: response to another request discarded");
         let link = &mut self.links[index];
-        tracing::info!(endpoint = link.endpoint, "relay: response to another request discarded");
         link.clear();
         link.skip_response()
     }
 
+    /// Id of the attempt that a connection carries.
+    pub(super) fn attempt_of(&self, index: usize) -> Option<&str> {
+        let caller = self.callers.get(self.links.get(index)?.caller?.index)?;
+        caller.exchange.as_ref().map(|e| e.id.as_str())
+    }
+
     /// True if the response is a stream of events, which is forwarded as it arrives.
     fn is_event_stream(&self, index: usize) -> bool {
         let link = &self.links[index];
--- a/src/relay/driver/links.rs
+++ b/src/relay/driver/links.rs
@@ -162,6 +162,7 @@
     fn read_link(&mut self, index: usize) {
         let end = self.fill_link(index);
         if self.links[index].caller.is_none() {
+            self.log_surplus(index);
             if end.is_some() || !self.links[index].input.is_empty() {
                 self.drop_link(index);
             }
@@ -200,8 +201,16 @@
         }
     }
 
+    /// Logs that bytes have arrived which belong to no request; the connection is closed for them.
+    fn log_surplus(&self, index: usize) {
+        let Some(link) = self.links.get(index).filter(|l| !l.input.is_empty()) else { return };
+        let (id, bytes) = (self.attempt_of(index), link.input.len());
+        tracing::info!(id, endpoint = link.endpoint, bytes, "relay: surplus after a response");
+    }
+
     /// Keeps a connection for reuse after a complete response, or closes it if it isn't reusable.
     pub(super) fn release_link(&mut self, index: usize) {
+        self.log_surplus(index);
         let Some(link) = self.links.get_mut(index) else { return };
         // More than the response may have arrived.
         if !link.reusable() || self.unread.contains(&link_token(index)) {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -118,7 +118,7 @@
 /// Calls of `sassafras-entry` to endpoints.
 mod endpoints {
     use super::*;
-    use sassafrasworks::adapter::endpoint::{AttemptError, Call, CallControl, call};
+    use sassafrasworks::adapter::endpoint::{AttemptError, Call, CallControl, Response, call};
 
     /// Sends a request and reads the whole answer: its status and body.
     fn ask(server: &RawServer, method: &str) -> Result<(u16, Vec<u8>), AttemptError> {
@@ -162,7 +162,7 @@
             let body = vec![b'x'; UPLOAD];
             let request =
                 Call { addr: &addr, method: "POST", path: "/x", headers: &[], body: &body };
-            let got = call(&request, &control).and_then(|r| r.read_body());
+            let got = call(&request, &control).and_then(Response::read_body);
             assert_eq!(got.unwrap_err(), AttemptError::ConnectionLost);
             assert!(control.sent());
         }
