--- a/src/wire/grammar.rs
+++ b/src/wire/grammar.rs
@@ -8,13 +8,12 @@
 /// Offsets of the blanks around the status code in a status line.
 const STATUS_BLANKS: [usize; 2] = [8, 12];
 /// Fields that determine framing, routing or the form of the content, which trailers must not hold.
-const NO_TRAILERS: [&[u8]; 7] = [
+const NO_TRAILERS: [&[u8]; 6] = [
     b"content-encoding",
     b"content-length",
     b"content-range",
     b"content-type",
     b"host",
-    b"trailer",
     b"transfer-encoding",
 ];
 
