Limits that endpoints name in their responses are logged

The relay reads the header now and logs a line when the limit of an endpoint changes (`limit`, `before`, and `sends`, those of this instance in the last 4 s), one when a value is odd (not a decimal number, or out of 0.1 to 1,000,000 a second), and the limit and its recent sends with each send to such an endpoint; relay_limited_endpoints counts them. Nothing is decided by it yet.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,6 +10,7 @@
 pub mod fair;
 pub mod lease;
 pub mod length;
+pub mod limit;
 pub mod place;
 pub mod pool;
 pub mod queue;
--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -25,6 +25,7 @@
 
 use crate::adapter::clock::Millis;
 use crate::mechanism::{self, Mechanism};
+use crate::policy::limit::Limits;
 
 /// Maximum predicted time until the first event on an engine that has prompts pending, as a fraction
 /// of the request's target. What waits here instead goes to the first engine with room.
@@ -235,6 +236,8 @@
 pub struct Balancer {
     /// Engine capacity and target gaps.
     pub profile: Profile,
+    /// Limits that the endpoints have named.
+    pub limits: Limits,
     domain: String,
     endpoints: IndexMap<String, Endpoint>,
     /// What is known of incarnations that are not listed now, oldest first: one may be listed again.
@@ -793,6 +796,7 @@
             e.mark_cached(now, needs.shared().iter().map(|(id, _)| *id));
             e.own.add(load);
             factor = e.capacity().first;
+            self.limits.record(now, e.key());
         }
         Placement {
             endpoint: id.to_owned(),
--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -84,9 +84,13 @@
         if leaving {
             self.mark_leaving(&service, &endpoint);
         }
+        let limit = self.stated_limit(index);
         if let Some(text) = pause {
             self.pause_endpoint(&service, &endpoint, &text);
         }
+        if let Some((statement, text)) = limit {
+            self.apply_limit(&service, &endpoint, statement, &text);
+        }
     }
 
     fn mark_leaving(&mut self, service: &str, endpoint: &str) {
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -332,6 +332,7 @@
             let placement = exchange.placement.as_ref();
             let uncached = placement.map(|p| p.uncached).unwrap_or_default();
             let predicted = placement.map_or(0, |p| p.predicted);
+            let (limit, recent) = self.limit_of(&service, &endpoint, now);
             tracing::info!(
                 id,
                 route,
@@ -345,6 +346,8 @@
                 shared = uncached.shared,
                 own = uncached.own,
                 predicted,
+                limit,
+                recent,
                 list_age = age,
                 "relay: sent"
             );
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod demand;
 mod dispatch;
+mod limits;
 mod links;
 mod outcome;
 mod peers;
--- a/src/relay/names.rs
+++ b/src/relay/names.rs
@@ -21,6 +21,8 @@
     pub load: &'static str,
     /// Present with the value 1 on a response of an endpoint that is leaving.
     pub leaving: &'static str,
+    /// Requests a second that the endpoint takes from all instances together.
+    pub limit: &'static str,
     /// Priority at the endpoint; 0 is the most urgent.
     pub priority: &'static str,
     /// Segments of the prompt in order, each as ID:TOKENS.
--- a/src/relay/stats.rs
+++ b/src/relay/stats.rs
@@ -134,6 +134,8 @@
     pub waiting: Gauge,
     /// Number of endpoints that are slower than their service.
     pub slow_endpoints: Gauge,
+    /// Number of endpoints that have named a limit.
+    pub limited_endpoints: Gauge,
     /// Number of peers that are alive.
     pub peers: Gauge,
     /// Number of contents that crashes count against.
@@ -188,6 +190,7 @@
             config_version: Gauge::default(),
             waiting: Gauge::default(),
             slow_endpoints: Gauge::default(),
+            limited_endpoints: Gauge::default(),
             peers: Gauge::default(),
             suspects: Gauge::default(),
             reports_due: Gauge::default(),
@@ -246,6 +249,8 @@
         r.register("waiting", "requests that wait for room", self.waiting.clone());
         let help = "endpoints that are slower than their service";
         r.register("slow_endpoints", help, self.slow_endpoints.clone());
+        let help = "endpoints that have named a limit on requests";
+        r.register("limited_endpoints", help, self.limited_endpoints.clone());
         r.register("peers", "peers heard of late", self.peers.clone());
         r.register("suspects", "contents that crashes count against", self.suspects.clone());
         r.register(
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -63,6 +63,12 @@
         found.and_then(|(_, v)| text(v))
     }
 
+    /// Values of all headers with a name.
+    pub fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let found = self.headers.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name));
+        found.map(|(_, v)| v.as_slice())
+    }
+
     /// Memory that it takes, in bytes.
     pub fn memory(&self) -> usize {
         let entry = size_of::<(String, Vec<u8>)>();
