Instances keep the limits that endpoints name, as a sum

Cause: nobody read the header (H1); class: a request of an endpoint that no part of the fleet hears. Reading it alone would have led to H2, a sum of parts that nobody knows. Change: responses set the limit of an incarnation (src/policy/limit); heartbeats and digests carry it with the sends of the last 4 s, so each instance knows the sum but for the last moment. What is free is divided equally; what doesn't divide goes to some instances in turn, and a turn is longer than the news take. On first sight of a limit, or without half of the peers, an instance sends an equal part only. The end of a limit is a ramp of 2 s. Placement leaves out endpoints that take nothing now: requests go elsewhere at once, or wait with the reason `limit`. All sends count. Ruled out: parts alone (0.17 a second for each of 9, unused where demand is uneven), and a single taker a turn (60 instances with 6 requests a second and a limit of 30 were served 1 a second; 195 with a limit of 50 used 25).

--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -173,6 +173,8 @@
         Recompute,
         /// Too much prefill for the tight partition.
         Overflow,
+        /// The endpoint takes no more requests at present, by the limit that it names.
+        Limit,
         /// It is another instance's turn.
         Turn,
         /// The batch is full.
@@ -193,6 +195,7 @@
             Self::Patience => "patience",
             Self::Recompute => "recompute",
             Self::Overflow => "overflow",
+            Self::Limit => "limit",
             Self::Turn => "turn",
             Self::Batch => "batch",
             Self::Slow => "slow",
@@ -378,6 +381,12 @@
         self.speed = all.speed();
     }
 
+    /// Forgets limits of endpoints that are gone.
+    pub fn expire_limits(&mut self, now: Millis) {
+        let Self { limits, endpoints, .. } = self;
+        limits.expire(now, |key| endpoints.values().any(|e| e.key() == key));
+    }
+
     /// Sets the typical age of the load placed by peers, in milliseconds.
     pub fn set_view_age(&mut self, age: Millis) {
         self.view_age = age;
@@ -550,18 +559,41 @@
         if usable.is_empty() {
             return Choice::NoEndpoint;
         }
-        let (tight, loose) = self.partition(&usable);
+        let (limited, free) = self.split_limited(now, usable);
+        let (tight, loose) = self.partition(&free);
         let is_tight = self.profile.is_tight(needs.gap);
-        let own = if is_tight { tight } else { loose };
-        match self.cheapest(now, own, needs, false) {
+        let own = [if is_tight { tight } else { loose }, &limited].concat();
+        if own.is_empty() {
+            return Choice::Full(self.least_load(&self.usable(now, needs)), Block::Limit);
+        }
+        match self.cheapest(now, &own, needs, false) {
             Ok(i) => self.chosen(i),
             Err(block) => match self.overflow(now, tight, loose, needs) {
                 Some(i) => self.chosen(i),
-                None => Choice::Full(self.least_load(own), block),
+                None => Choice::Full(self.least_load(&own), block),
             },
         }
     }
 
+    /// Splits the usable endpoints into those with a limit that allows a request now, and those without
+    /// one. Those with a limit are in no partition: what they take is little, and allowed at moments.
+    /// Where most of them have one, the allowed ones are partitioned like others.
+    fn split_limited(&mut self, now: Millis, usable: Vec<usize>) -> (Vec<usize>, Vec<usize>) {
+        if !self.limits.any() {
+            return (Vec::new(), usable);
+        }
+        let key = |i: &usize| self.endpoints[*i].key();
+        let (mut limited, mut free): (Vec<usize>, Vec<usize>) =
+            usable.iter().partition(|i| self.limits.holds(now, key(i)));
+        let most = limited.len() > free.len();
+        limited.retain(|i| self.limits.allows(now, self.endpoints[*i].key()));
+        if most {
+            free.append(&mut limited);
+            free.sort_by_key(|i| self.endpoints[*i].id_hash());
+        }
+        (limited, free)
+    }
+
     /// Like [`Self::choose`], but leaves a fraction of the endpoints' limits free for others.
     pub fn choose_within(&mut self, now: Millis, needs: &Requirements, reserve: f64) -> Choice {
         self.reserve = reserve;
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -270,8 +270,10 @@
     /// loads don't change, per [`DRAIN_MAX_MS`].
     pub(super) fn drain_queue(&mut self, now: Millis) {
         if self.queue.is_empty() {
+            self.waiting_since = None;
             return;
         }
+        self.waiting_since.get_or_insert(now);
         let interval = if self.load_changed { DRAIN_MIN_MS } else { DRAIN_MAX_MS };
         if now < self.drained_at + interval {
             self.timers.set(self.drained_at + interval, Owner::Queue);
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -138,6 +138,8 @@
     queue: Queue,
     /// Time of the last pass over the queue.
     drained_at: Millis,
+    /// Time since which requests have waited in the queue, if any do.
+    waiting_since: Option<Millis>,
     /// Loads or endpoints have changed since the last pass over the queue.
     load_changed: bool,
     /// Time at which the loads reported by peers were last applied.
@@ -235,6 +237,7 @@
             idle_links: IndexMap::new(),
             queue: Queue::default(),
             drained_at: 0,
+            waiting_since: None,
             load_changed: true,
             applied_at: 0,
             apply_scheduled: false,
--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -157,6 +157,7 @@
         let observed = self.peers.observed(now);
         self.pools.values_mut().for_each(|p| p.balancer.set_peer_observed(now, &observed));
         self.report_slow_endpoints();
+        self.expire_limits(now);
         self.update_replicas(now);
         self.update_duties(now);
         let me = (self.setup.name.clone(), self.setup.peers);
@@ -245,6 +246,7 @@
         self.apply_scheduled = false;
         self.load_changed = true;
         self.peers.expire(now);
+        self.update_limits(now);
         let me = gossip::instance_hash(&self.setup.name);
         let waiting = self.peers.waiting(now);
         let tight = self.tight_waiting();
@@ -378,6 +380,7 @@
             curves: self.curves(),
             slowness: self.slowness(now),
             flows: self.flows(now),
+            limits: self.limit_reports(now),
             ..Heartbeat::default()
         }
     }
@@ -499,6 +502,7 @@
             entries.for_each(Endpoint::mark_stale);
         }
         self.apply_crash_reports(&heartbeat);
+        self.apply_limit_reports(now, &heartbeat);
         if self.peers.is_new(&heartbeat) {
             tracing::info!(
                 peer = heartbeat.name,
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -11,6 +11,7 @@
 use crate::policy::drain::Flows;
 use crate::policy::fair::{self, Usage};
 use crate::policy::lease::{Candidate, choose};
+use crate::policy::limit::{Fleet, Report};
 use crate::policy::place::{self, Curve, Load, Observed, Samples, Shared};
 use crate::policy::scale::ServiceFigures;
 use crate::policy::suspect::Content;
@@ -36,6 +37,11 @@
 const ISOLATED_TIMEOUT: u64 = 5_000;
 /// Time without a heartbeat after which a peer no longer shares budgets, in milliseconds.
 const SHARER_TIMEOUT: u64 = 10_000;
+/// Time without a heartbeat after which a peer takes no part of the endpoints' limits any more, in
+/// milliseconds: one that is cut off may go on sending.
+const LIMIT_TIMEOUT: u64 = 60_000;
+/// Time for which the sends that a peer has reported count, in milliseconds, also if it is silent.
+const REPORT_TIMEOUT: u64 = 5_000;
 /// Maximum size of a datagram, in bytes.
 pub const MAX_DATAGRAM: usize = 60_000;
 
@@ -146,6 +152,10 @@
     /// Queued and recently started requests, by service and target gap.
     #[serde(rename = "fl", default)]
     pub flows: IndexMap<String, Flows>,
+    /// Endpoints that have named a limit. Those without sends of late are listed if `full`, or if the
+    /// limit has changed.
+    #[serde(rename = "li", default)]
+    pub limits: Vec<Report>,
 }
 
 /// What an instance is as a candidate for duties.
@@ -276,6 +286,14 @@
         self.heartbeat.usage.iter().map(|(name, u)| (name.clone(), u.after(age))).collect()
     }
 
+    /// Adds what it has reported of endpoints with limits, as of now.
+    fn add_limits(&self, now: Millis, all: &mut IndexMap<u32, Report>) {
+        let age = now.saturating_sub(self.heard_at);
+        if age < REPORT_TIMEOUT {
+            Report::merge_all(all, self.heartbeat.limits.iter().map(|r| r.aged(age)));
+        }
+    }
+
     /// Subtracts its load from `sum`.
     fn remove_loads(&mut self, sum: &mut IndexMap<String, Load>) {
         for (id, load) in std::mem::take(&mut self.heartbeat.loads) {
@@ -545,6 +563,31 @@
         1 + self.all.values().filter(shares).count()
     }
 
+    /// What this instance knows of those that share limits with it. `waits` is true if it has had
+    /// requests in its queue for a while.
+    pub fn limit_fleet(&self, now: Millis, waits: bool) -> Fleet {
+        let me = instance_hash(&self.me);
+        let shares =
+            |p: &&Peer| self.groups.0 > 1 || p.heard_at == 0 || p.heard_at + LIMIT_TIMEOUT > now;
+        let others = self.all.iter().filter(|(_, p)| shares(p)).map(|(n, _)| instance_hash(n));
+        let all: Vec<u64> = others.chain([me]).collect();
+        let waiting = self.waiting(now).into_iter().chain(waits.then_some(me)).collect();
+        let (known, heard) = match self.groups.0 {
+            1 => (all.len(), 1 + self.alive(now).count()),
+            _ => (self.addrs().count() + 1, 1 + self.members(now).count()),
+        };
+        let hears_groups = self.groups.0 == 1 || self.remote(now).next().is_some();
+        Fleet { me, all, waiting, informed: hears_groups && 2 * heard >= known }
+    }
+
+    /// What peers have reported of endpoints with limits, as of now.
+    pub fn limits(&self, now: Millis) -> IndexMap<u32, Report> {
+        let mut all = IndexMap::new();
+        let members = self.all.values().filter(|p| p.group == self.groups.1);
+        members.chain(self.digests.values()).for_each(|p| p.add_limits(now, &mut all));
+        all
+    }
+
     /// Hashes of the names of the alive peers that have requests in their queue.
     pub fn waiting(&self, now: Millis) -> Vec<u64> {
         let busy = self.members(now).filter(|p| p.heartbeat.waiting > 0);
@@ -661,6 +704,10 @@
             let age = now.saturating_sub(peer.heard_at);
             add_flows(&mut state.flows, &peer.heartbeat.flows, age);
         }
+        let mut limits = state.limits.drain(..).map(|r| (r.key, r)).collect();
+        let members = self.all.values().filter(|p| p.group == self.groups.1);
+        members.for_each(|p| p.add_limits(now, &mut limits));
+        state.limits = limits.into_values().collect();
         state.candidates.extend(self.members(now).filter_map(Peer::candidate));
         state.candidates = choose(std::mem::take(&mut state.candidates));
         let mut all = merge_observed(now, self.members(now));
@@ -675,6 +722,10 @@
     /// Digest of all other groups that this representative hears from.
     pub fn rest_state(&self, now: Millis) -> Heartbeat {
         let mut state = Heartbeat::default();
+        let mut limits = IndexMap::new();
+        let groups = self.digests.values().filter(|d| d.heartbeat.scope == Scope::Group);
+        groups.for_each(|d| d.add_limits(now, &mut limits));
+        state.limits = limits.into_values().collect();
         for digest in self.remote(now).filter(|d| d.heartbeat.scope == Scope::Group) {
             state.contenders.extend_from_slice(&digest.heartbeat.contenders);
             merge_state(&mut state, &digest.heartbeat);
--- a/src/relay/groups.rs
+++ b/src/relay/groups.rs
@@ -15,6 +15,7 @@
 use super::gossip::{self, Heartbeat, Peers, Scope};
 use crate::adapter::clock::Millis;
 use crate::policy::fair;
+use crate::policy::limit::Report;
 use crate::policy::place::Load;
 use crate::policy::report::MAX_REPORTS;
 use crate::policy::suspect::Content;
@@ -149,6 +150,7 @@
             state.speeds.clear();
             state.curves.clear();
             (state.clock, state.duty) = (0, None);
+            state.limits.retain(Report::is_news);
         }
         if now < self.next_evidence {
             state.slowness.clear();
