A store that was restored from a copy is followed: positions have an era

A full read that ends below the replica's end was dropped as older, and records at offsets that were given out again were never read. Class: a number that is compared outside of the scope in which it counts. Rereads in a row pause. What the copy has lost doesn't come back as old state: entries that it lacks keep their grace period, those removed in the last minute stay hidden for 5 s unless written again, a leaving endpoint stays leaving, the higher version of the configuration stays. An instance registers again. The same cause elsewhere, the duties: after a restore nobody holds the lease until it was acquired anew, whose token is higher than all before; candidates write the reports again that the log has lost; an instance that doesn't know what the log held comes last, and reports no window that ended before.

--- a/src/adapter/http.rs
+++ b/src/adapter/http.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use ureq::Agent;
+use ureq::http::HeaderMap;
 use ureq::unversioned::resolver::DefaultResolver;
 
 use super::codec;
@@ -42,6 +43,21 @@
     }
 }
 
+/// A 2xx response.
+#[derive(Debug)]
+pub struct Answer {
+    /// The whole body.
+    pub body: Vec<u8>,
+    headers: HeaderMap,
+}
+
+impl Answer {
+    /// Value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
 /// Client whose calls each have one timeout, from connecting to the last byte of the body.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -70,12 +86,17 @@
 
     /// Sends a GET and returns the body of a 2xx response.
     pub fn get(&self, url: &str) -> Result<Vec<u8>, CallError> {
+        self.fetch(url).map(|a| a.body)
+    }
+
+    /// Sends a GET and returns a 2xx response with its headers.
+    pub fn fetch(&self, url: &str) -> Result<Answer, CallError> {
         self.read_response(self.agent.get(url).call())
     }
 
-    /// Like [`Client::get`], but with a timeout of `timeout` milliseconds, for calls on which the
+    /// Like [`Client::fetch`], but with a timeout of `timeout` milliseconds, for calls on which the
     /// server waits for new data.
-    pub fn get_with_timeout(&self, url: &str, timeout: u64) -> Result<Vec<u8>, CallError> {
+    pub fn fetch_with_timeout(&self, url: &str, timeout: u64) -> Result<Answer, CallError> {
         let request = self.agent.get(url).config();
         let request = request.timeout_global(Some(Duration::from_millis(timeout))).build();
         self.read_response(request.call())
@@ -83,6 +104,11 @@
 
     /// Posts raw bytes and returns the body of a 2xx response.
     pub fn post(&self, url: &str, body: &[u8]) -> Result<Vec<u8>, CallError> {
+        self.submit(url, body).map(|a| a.body)
+    }
+
+    /// Posts raw bytes and returns a 2xx response with its headers.
+    pub fn submit(&self, url: &str, body: &[u8]) -> Result<Answer, CallError> {
         self.read_response(self.agent.post(url).header("content-type", codec::MSGPACK).send(body))
     }
 
@@ -105,11 +131,11 @@
         codec::unpack(&self.post(url, &codec::pack(value))?).map_err(invalid_response)
     }
 
-    /// The body of a 2xx response.
+    /// A 2xx response, with its whole body.
     fn read_response(
         &self,
         result: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
-    ) -> Result<Vec<u8>, CallError> {
+    ) -> Result<Answer, CallError> {
         let mut response = result.map_err(|e| classify(&e))?;
         let status = response.status().as_u16();
         let accepted = (200..300).contains(&status);
@@ -117,7 +143,7 @@
         let body = response.body_mut().with_config().limit(limit).read_to_vec();
         let mut body = body.map_err(|e| CallError::NoResponse(e.to_string()))?;
         if accepted {
-            return Ok(body);
+            return Ok(Answer { body, headers: response.headers().clone() });
         }
         body.truncate(ERROR_TEXT_LIMIT);
         Err(CallError::Status { status, text: String::from_utf8_lossy(&body).into_owned() })
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,5 +4,6 @@
 pub mod audit;
 pub mod config;
 pub mod peer;
+pub mod position;
 pub mod readers;
 pub mod replica;
--- a/src/fleet/replica.rs
+++ b/src/fleet/replica.rs
@@ -5,12 +5,18 @@
 //! removal that is read right after an outage may be such an expiry, so the replica keeps the entry
 //! for a grace period in which the endpoint can register again.
 //!
-//! A removal leaves nothing behind but the end offset, so that offset decides what is old: a response
+//! A removal leaves nothing behind but the end position, so that decides what is old: a response
 //! may arrive after a copy from a peer that has read further.
+//!
+//! Offsets here are positions, see [`super::position`]. A platform that was restored from a copy has
+//! lost its newest records, which are written again a little later. Until then, entries that it lacks
+//! are kept for the grace period, those that were removed lately stay hidden, and newer values of
+//! others stay.
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use super::position;
 use crate::adapter::clock::Millis;
 
 /// Grace period after the end of an outage in which an expired entry may be registered again, in
@@ -23,6 +29,14 @@
 /// shorter than three heartbeat intervals of the endpoints.
 pub const MIN_OUTAGE: u64 = 3_000;
 
+/// Time for which a removal is remembered, in milliseconds: longer than a copy is old.
+const REMOVAL_MEMORY: u64 = 60_000;
+/// Maximum removals that are remembered.
+const MAX_REMOVALS: usize = 4_096;
+/// Time for which an entry of a restored platform stays hidden if it was removed lately, in
+/// milliseconds: entries of endpoints that are gone are removed again within it.
+const HIDE_TIME: u64 = 5_000;
+
 closed! {
     /// A topic of the platform that instances read.
     pub enum Topic {
@@ -92,6 +106,10 @@
     steady_since: Option<Millis>,
     /// Number of calls that changed an entry.
     changes: u64,
+    /// Keys of entries that were removed lately, and when, oldest first.
+    removed: IndexMap<String, Millis>,
+    /// Entries of a restored platform that had been removed before, and the time at which they count.
+    hidden: IndexMap<String, (Millis, Entry)>,
 }
 
 impl Replica {
@@ -171,20 +189,59 @@
         if batch.end < self.end {
             return false;
         }
+        let restored = self.is_restored(&batch);
+        if restored {
+            tracing::info!(
+                era = position::era(batch.end),
+                end = position::offset(batch.end),
+                before = position::offset(self.end),
+                "replica: platform was restored"
+            );
+            self.outage = (0, 0);
+            self.hidden.clear();
+        }
         let mut changed = false;
         let listed =
             |k: &String| batch.kept.contains(k) || batch.records.iter().any(|r| r.key == *k);
         let missing: Vec<String> = self.entries.keys().filter(|k| !listed(k)).cloned().collect();
         for key in missing {
-            changed |= self.remove(now, &key);
+            if restored {
+                self.keep_for_grace(&key, now);
+            } else {
+                changed |= self.remove(now, &key);
+            }
         }
         for record in batch.records {
-            changed |= self.apply(now, record);
+            if restored && self.was_removed(now, &record.key) {
+                self.hide(now, record);
+            } else {
+                changed |= self.apply(now, record);
+            }
         }
         self.end = batch.end;
         self.count_change(changed)
     }
 
+    /// True if a full read or a peer's replica belongs to a later era than this replica.
+    pub fn is_restored(&self, batch: &Batch) -> bool {
+        self.end > 0 && position::era(batch.end) > position::era(self.end)
+    }
+
+    /// Puts values of this replica in the place of older ones of a platform that was restored.
+    /// `supersedes` tells whether a value of a key, the second argument, is newer than another.
+    pub fn carry_over(&self, batch: &mut Batch, supersedes: impl Fn(&str, &[u8], &[u8]) -> bool) {
+        if !self.is_restored(batch) {
+            return;
+        }
+        for record in &mut batch.records {
+            let Some(entry) = self.entries.get(&record.key) else { continue };
+            let is_newer = |theirs: &Vec<u8>| supersedes(&record.key, &entry.value, theirs);
+            if record.value.as_ref().is_some_and(is_newer) {
+                record.value = Some(entry.value.clone());
+            }
+        }
+    }
+
     /// Applies a peer's replica if the peer has read further. That is no response of the platform,
     /// so the times of its responses stay as they are. An entry that this replica lacks although it
     /// has read past its record was removed, whatever the peer holds. Returns true when an entry
@@ -208,7 +265,9 @@
     /// expired entries, and just the keys of the rest.
     pub fn export(&self, now: Millis, from: u64) -> Batch {
         let included = |e: &Entry| e.offset >= from || e.remove_at.is_some();
-        let records = self.entries.iter().filter(|(_, e)| included(e)).map(|(k, e)| Record {
+        let hidden = self.hidden.iter().map(|(k, (_, e))| (k, e));
+        let all = self.entries.iter().chain(hidden);
+        let records = all.filter(|(_, e)| included(e)).map(|(k, e)| Record {
             offset: e.offset,
             key: k.clone(),
             value: Some(e.value.clone()),
@@ -218,11 +277,17 @@
         Batch { end: self.end, records: records.collect(), kept: kept.collect() }
     }
 
-    /// Removes expired entries whose grace period is over. Returns true when there were any.
+    /// Removes expired entries whose grace period is over, and shows those that were hidden for long
+    /// enough. Returns true when there were any.
     pub fn expire(&mut self, now: Millis) -> bool {
-        let before = self.entries.len();
-        self.entries.retain(|_, e| e.remove_at.is_none_or(|at| at > now));
-        self.count_change(before != self.entries.len())
+        let over = |e: &Entry| e.remove_at.is_some_and(|at| at <= now);
+        let expired: Vec<String> =
+            self.entries.iter().filter(|(_, e)| over(e)).map(|(k, _)| k.clone()).collect();
+        expired.iter().for_each(|key| self.forget(now, key));
+        let shown: Vec<_> = self.hidden.extract_if(.., |_, (at, _)| *at <= now).collect();
+        let changed = !expired.is_empty() || !shown.is_empty();
+        self.entries.extend(shown.into_iter().map(|(key, (_, entry))| (key, entry)));
+        self.count_change(changed)
     }
 
     /// Number of changes so far, which tells a later state of the entries from an earlier one.
@@ -258,6 +323,7 @@
             }
             return false;
         }
+        self.hidden.shift_remove(&record.key);
         let Some(value) = record.value else { return self.remove(now, &record.key) };
         let remove_at = record.remaining.map(|ms| now + ms);
         let new = Entry { offset: record.offset, value, remove_at };
@@ -275,6 +341,36 @@
             entry.remove_at.get_or_insert(recovered_at + EXPIRY_GRACE);
             return false;
         }
-        self.entries.shift_remove(key).is_some()
+        self.forget(now, key);
+        true
+    }
+
+    /// Removes an entry at once.
+    fn forget(&mut self, now: Millis, key: &str) {
+        self.entries.shift_remove(key);
+        self.removed.shift_remove(key);
+        self.removed.insert(key.to_owned(), now);
+        while self.removed.len() > MAX_REMOVALS {
+            self.removed.shift_remove_index(0);
+        }
+    }
+
+    /// True if an entry was removed lately, and not written again.
+    fn was_removed(&self, now: Millis, key: &str) -> bool {
+        let recently = self.removed.get(key).is_some_and(|at| now < at + REMOVAL_MEMORY);
+        recently && !self.entries.contains_key(key)
+    }
+
+    /// Keeps an entry that a restored platform lacks: it may be written again.
+    fn keep_for_grace(&mut self, key: &str, now: Millis) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.remove_at.get_or_insert(now + EXPIRY_GRACE);
+        }
+    }
+
+    /// Hides an entry of a restored platform that was removed before.
+    fn hide(&mut self, now: Millis, record: Record) {
+        let Record { offset, key, value: Some(value), .. } = record else { return };
+        self.hidden.insert(key, (now + HIDE_TIME, Entry { offset, value, remove_at: None }));
     }
 }
--- a/src/policy/lease/mod.rs
+++ b/src/policy/lease/mod.rs
@@ -3,6 +3,9 @@
 //! The lease is a series of records in one log that accepts an append only at the offset that the
 //! writer expects to be its end. Each append starts with a lease record, so it both renews the lease
 //! and fails once another instance has taken over.
+//!
+//! Offsets here are positions, see [`crate::fleet::position`]. Tokens begin at the position of the
+//! acquisition, so a log that was restored from a copy brings no lower ones.
 
 mod candidate;
 mod view;
@@ -10,7 +13,10 @@
 pub use candidate::{Candidate, MAX_CANDIDATES, choose};
 pub use view::{Entry, KEY, LeaseRecord, Snapshot};
 
+use indexmap::IndexMap;
+
 use crate::adapter::clock::Millis;
+use crate::fleet::position;
 use crate::mechanism::{self, Mechanism};
 use view::View;
 
@@ -22,6 +28,12 @@
 /// Delay of a takeover for each rank among the candidates, in milliseconds: longer than an append
 /// usually takes.
 const RANK_DELAY: u64 = 400;
+/// Delay of an acquisition by an instance that doesn't know what a log held that was restored from a
+/// copy, in milliseconds: others that know it come first.
+const BLIND_DELAY: u64 = 2_000;
+/// Age of the last contact with the log, in milliseconds, from which an instance doesn't know what it
+/// held before it was restored: another may have acquired the lease meanwhile.
+const MAX_PAST_AGE: u64 = 5_000;
 /// Maximum time that a read waits for records, in milliseconds, so that a stop is noticed.
 const MAX_READ_WAIT: u64 = 1_000;
 /// Interval between decisions of an instance that is not a candidate, in milliseconds.
@@ -128,6 +140,14 @@
     pending: Option<Pending>,
     /// Highest token seen in any record.
     highest: u64,
+    /// The last view that was dropped.
+    past: Option<View>,
+    /// Time at which the log was last read or appended to.
+    contact_at: Millis,
+    /// Entries that were known before the log was restored from a copy.
+    carried: IndexMap<String, Vec<u8>>,
+    /// Era up to which this instance has known the log before it was restored.
+    known_until: Option<u64>,
 }
 
 impl Lease {
@@ -143,6 +163,10 @@
             hold: None,
             pending: None,
             highest: 0,
+            past: None,
+            contact_at: 0,
+            carried: IndexMap::new(),
+            known_until: None,
         }
     }
 
@@ -185,7 +209,7 @@
             return self.settle();
         }
         if self.hold.is_none() && (standing.rank.is_none() || standing.leaving) {
-            self.view = None;
+            self.expired();
             return Next::Wait { until: now + IDLE_INTERVAL };
         }
         let Some(view) = &self.view else { return Next::Newest };
@@ -220,6 +244,8 @@
     /// Time at which this instance may acquire the lease.
     fn acquires_at(&self, view: &View, rank: usize) -> Millis {
         let delay = rank as u64 * RANK_DELAY;
+        let blind = if self.is_blind() { BLIND_DELAY } else { 0 };
+        let delay = delay + blind;
         let Some(last) = &view.last else { return view.heard_at + delay };
         let silence = if last.released { 0 } else { self.length };
         let at = view.heard_at + silence + delay;
@@ -227,6 +253,15 @@
         if was_before { at.max(view.taken_at + self.length) } else { at }
     }
 
+    /// True if nobody has acquired the lease since the log was restored from a copy, as far as the log
+    /// was read, and this instance doesn't know what the log held before.
+    pub fn is_blind(&self) -> bool {
+        let Some(view) = &self.view else { return false };
+        let era = position::era(view.end);
+        let acquired = view.last.as_ref().map_or(0, |l| position::era(l.token));
+        era > acquired && self.known_until != Some(era)
+    }
+
     /// Continues with the append whose outcome is not known. The same records at the same offset can
     /// take effect only once.
     fn settle(&self) -> Next {
@@ -279,7 +314,7 @@
             // The log is shorter than it was: its history was lost.
             Appended::Moved { .. } => {
                 pending.moved = true;
-                self.view = None;
+                self.expired();
             }
             Appended::Refused(_) if pending.uncertain => {}
             Appended::Refused(_) => self.pending = None,
@@ -291,6 +326,7 @@
     /// Applies the pending append, which has taken effect at the end of the view.
     fn succeed(&mut self) {
         let Some(pending) = self.pending.take() else { return };
+        self.contact_at = self.contact_at.max(pending.sent_at);
         let Some(view) = &mut self.view else { return };
         for entry in &pending.append.records {
             view.apply(pending.sent_at, &entry.key, Some(&entry.value));
@@ -308,6 +344,16 @@
 
     /// Takes the newest record of each key.
     pub fn loaded(&mut self, now: Millis, snapshot: Snapshot) {
+        let contact_at = std::mem::replace(&mut self.contact_at, now);
+        if let Some(past) = self.past.take()
+            && position::era(snapshot.end) > position::era(past.end)
+        {
+            self.carried.extend(past.entries);
+            let known = now < contact_at + MAX_PAST_AGE;
+            self.known_until = known.then(|| position::era(snapshot.end));
+            // The log may have lost the records of a later holder.
+            (self.hold, self.pending) = (None, None);
+        }
         let view = View::new(now, snapshot);
         let last = view.last.clone();
         let end = view.end;
@@ -332,6 +378,7 @@
         end: u64,
         records: impl Iterator<Item = (&'a str, Option<&'a [u8]>)>,
     ) {
+        self.contact_at = now;
         let Some(view) = &mut self.view else { return };
         let pending = self.pending.as_ref().map(|p| (p.record.clone(), p.sent_at));
         let moved = end > view.end;
@@ -360,6 +407,20 @@
 
     /// Takes that the records to read have expired.
     pub fn expired(&mut self) {
-        self.view = None;
+        if let Some(view) = self.view.take() {
+            self.past = Some(view);
+        }
+    }
+
+    /// Values of the keys with a prefix that were known before the log was restored from a copy, which
+    /// may lack them.
+    pub fn carried<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = (&'a str, &'a [u8])> {
+        let found = self.carried.iter().filter(move |(k, _)| k.starts_with(prefix));
+        found.map(|(k, v)| (k.as_str(), v.as_slice()))
+    }
+
+    /// Forgets them, once they are in the log again.
+    pub fn forget_carried(&mut self) {
+        self.carried.clear();
     }
 }
--- a/src/policy/usage/report.rs
+++ b/src/policy/usage/report.rs
@@ -34,6 +34,11 @@
 
     /// Prefix of the keys of reports.
     pub const PREFIX: &'static str = "usage/";
+
+    /// True if it is a later record under the same key than another.
+    pub fn is_after(&self, other: &Self) -> bool {
+        (self.window, self.sent) > (other.window, other.sent)
+    }
 }
 
 /// What is due.
@@ -54,11 +59,18 @@
 pub struct Reports {
     /// Window from which this holder reports if nothing is recorded.
     first: Option<Window>,
+    /// First window that is reported.
+    skipped_to: Window,
     /// Time of the next send by window.
     retry_at: IndexMap<Window, Millis>,
 }
 
 impl Reports {
+    /// Fixes no report of a window before this one: another holder may have sent it.
+    pub fn skip_to(&mut self, window: Window) {
+        self.skipped_to = window;
+    }
+
     /// Decides on the next step at `now`, true time, from the recorded reports. `first` is the first
     /// window with counts; `missing` tells how many instances have not sent their final counts of a
     /// window yet.
@@ -96,7 +108,8 @@
         let open = times.window_of(now);
         let first = *self.first.get_or_insert(first.unwrap_or(open));
         let last = recorded.iter().map(|r| r.window).max();
-        let window = last.map_or(first, |w| w + 1).max(times.oldest_due(now));
+        let window = last.map_or(first, |w| w + 1);
+        let window = window.max(times.oldest_due(now)).max(self.skipped_to);
         let end = times.end_of(window);
         let complete = now >= end + SETTLE && missing(window) == 0;
         (complete || now >= end + times.late / 2).then_some(window)
--- a/src/relay/duty/mod.rs
+++ b/src/relay/duty/mod.rs
@@ -75,9 +75,9 @@
 pub trait Journal: Send {
     /// The newest record of every key.
     fn newest(&self) -> Result<Batch, SourceError>;
-    /// Records from offset `from` on. Waits up to `wait` milliseconds for the first one.
+    /// Records from the position `from` on. Waits up to `wait` milliseconds for the first one.
     fn read(&self, from: u64, wait: u64) -> Result<Batch, SourceError>;
-    /// Appends records if the log ends at offset `at`.
+    /// Appends records if the log ends at the position `at`.
     fn append(&self, at: u64, records: &[Entry]) -> Appended;
 }
 
--- a/src/relay/duty/runner.rs
+++ b/src/relay/duty/runner.rs
@@ -90,6 +90,7 @@
     pub fn turn(&mut self) -> u64 {
         let now = self.clock.now();
         let standing = self.standing(now);
+        let blind = self.lease.is_blind();
         let pause = match self.lease.next(now, standing) {
             Next::Newest => self.load(),
             Next::Read { from, wait } => self.read(from, wait),
@@ -97,6 +98,14 @@
             Next::Wait { until } if self.lease.holds() => (until - now).clamp(1, MAX_PAUSE),
             Next::Wait { until } => until - now,
         };
+        if blind && self.lease.holds() {
+            let open = self.duties.times.window_of(self.board.true_time(now));
+            tracing::warn!(
+                first = open,
+                "duty: log was restored, earlier windows are not reported"
+            );
+            self.reports.skip_to(open);
+        }
         self.publish_role();
         if !standing.leaving {
             self.act();
@@ -253,6 +262,9 @@
             return;
         }
         let now = self.board.true_time(self.clock.now());
+        if self.restore_reports() {
+            return;
+        }
         let recorded: Vec<FixedReport> =
             self.lease.values(FixedReport::PREFIX).filter_map(decode).collect();
         let (times, board) = (self.duties.times, Arc::clone(&self.board));
@@ -268,6 +280,26 @@
         }
     }
 
+    /// Records the reports again that the log has lost because it was restored from a copy. Returns true
+    /// if that is not done yet.
+    fn restore_reports(&mut self) -> bool {
+        let known = |key: &str| self.lease.value(key).and_then(|v| decode((key, v)));
+        let carried = self.lease.carried(FixedReport::PREFIX);
+        let lost: Vec<Entry> = carried
+            .filter_map(decode)
+            .filter(|r| known(&FixedReport::key(r.window)).is_none_or(|k| r.is_after(&k)))
+            .map(|r| entry(&r))
+            .collect();
+        if !lost.is_empty() {
+            tracing::info!(reports = lost.len(), "duty: log was restored, reports recorded again");
+            if !self.record(lost) {
+                return true;
+            }
+        }
+        self.lease.forget_carried();
+        false
+    }
+
     /// Fixes the content of a window's report, and sends it.
     fn fix(&mut self, window: Window) {
         let counts = self.board.totals(window);
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -10,7 +10,7 @@
 use crate::adapter::clock::Clock;
 use crate::adapter::http::{CallError, Client};
 use crate::fleet::readers::READERS;
-use crate::fleet::replica::{Batch, Topic};
+use crate::fleet::replica::{Batch, Replica, Topic};
 use crate::policy::place::Listing;
 
 /// Maximum time that a read waits for new records, in milliseconds. It is within the bounds for a
@@ -23,6 +23,9 @@
 /// Interval between reads of the instances, in milliseconds. It can be long because a new instance
 /// contacts all others itself.
 const INSTANCES_INTERVAL: u64 = 30_000;
+/// Interval between checks whether the platform was restored from a copy, which may have lost the
+/// registration of this instance, in milliseconds.
+const ERA_INTERVAL: u64 = 1_000;
 /// First and maximum pause after a failed call, in milliseconds.
 const BACKOFF: (u64, u64) = (100, 800);
 /// Upper limit of the maximum pause in a large fleet, in milliseconds. The pause may be longer
@@ -68,7 +71,7 @@
 pub trait Source: Send + Sync {
     /// The newest record of every key.
     fn newest(&self, topic: Topic) -> Result<Batch, SourceError>;
-    /// Records from offset `from` on. Waits up to `wait` milliseconds for the first one.
+    /// Records from the position `from` on. Waits up to `wait` milliseconds for the first one.
     fn read(&self, topic: Topic, from: u64, wait: u64) -> Result<Batch, SourceError>;
     /// Registers this instance under a key; with `None`, removes the registration.
     fn announce(&self, key: &str, value: Option<&[u8]>) -> Result<(), SourceError>;
@@ -116,6 +119,8 @@
         let mut backoff = BACKOFF.0;
         let mut full = true;
         let mut disconnected = false;
+        // No read from the replica's end has succeeded since records expired.
+        let mut reread = false;
         loop {
             let stuck = self.shared.is_stuck(self.topic);
             if !full && !self.shared.is_reader() && !stuck {
@@ -128,6 +133,7 @@
                     if disconnected {
                         tracing::info!(topic = ?self.topic, "follow: platform regained");
                     }
+                    reread &= full;
                     (disconnected, full, backoff) = (false, false, BACKOFF.0);
                     self.shared.set_disconnected(self.topic, false);
                     if changed {
@@ -137,6 +143,9 @@
                 }
                 Err(SourceError::Expired) => {
                     tracing::info!(topic = ?self.topic, "follow: records expired, rereading all");
+                    if std::mem::replace(&mut reread, true) {
+                        self.clock.sleep(BACKOFF.0);
+                    }
                     full = true;
                 }
                 Err(e) => {
@@ -161,7 +170,9 @@
     fn poll(&self, full: bool, wait: u64) -> Result<bool, SourceError> {
         if full {
             let batch = self.source.newest(self.topic)?;
-            return Ok(self.shared.replica(self.topic).reset(self.clock.now(), batch));
+            let mut replica = self.shared.replica(self.topic);
+            let batch = carry_over(self.source.as_ref(), self.topic, &replica, batch);
+            return Ok(replica.reset(self.clock.now(), batch));
         }
         let from = self.shared.replica(self.topic).end();
         let batch = self.source.read(self.topic, from, wait)?;
@@ -170,6 +181,24 @@
     }
 }
 
+/// Puts newer values of a replica in the place of older ones of a platform that was restored.
+fn carry_over(source: &dyn Source, topic: Topic, replica: &Replica, mut batch: Batch) -> Batch {
+    replica.carry_over(&mut batch, |key, own, theirs| match topic {
+        Topic::Config => {
+            let version = |value| source.table(key, value).and_then(Result::ok).map(|t| t.version);
+            version(own) > version(theirs)
+        }
+        Topic::Endpoints => match (source.listing(key, own), source.listing(key, theirs)) {
+            (Ok(own), Ok(theirs)) => {
+                own.leaving && !theirs.leaving && own.incarnation() == theirs.incarnation()
+            }
+            _ => false,
+        },
+        Topic::Instances => false,
+    });
+    batch
+}
+
 /// Decodes the replica of a topic and passes it to the driver.
 fn publish(source: &dyn Source, shared: &Shared, topic: Topic) {
     let (change, entries) = {
@@ -313,7 +342,10 @@
     match client.get_packed::<Batch>(&url) {
         Ok(batch) => {
             let end = batch.end;
-            let changed = shared.replica(topic).adopt(clock.now(), batch);
+            let mut replica = shared.replica(topic);
+            let batch = carry_over(source, topic, &replica, batch);
+            let changed = replica.adopt(clock.now(), batch);
+            drop(replica);
             tracing::info!(?topic, %addr, end, changed, "follow: copied from peer");
             if changed {
                 publish(source, shared, topic);
@@ -334,6 +366,7 @@
 /// Registers this instance and reads the instance list at intervals.
 fn run_membership(source: &dyn Source, shared: &Shared, clock: &Clock, me: &(String, SocketAddr)) {
     let mut announced = false;
+    let mut era = shared.era();
     loop {
         if !announced {
             match source.announce(&me.0, Some(me.1.to_string().as_bytes())) {
@@ -350,7 +383,16 @@
             }
             Err(e) => tracing::warn!("follow: cannot read instances: {e}"),
         }
-        clock.sleep(if announced { INSTANCES_INTERVAL } else { BACKOFF.1 });
+        if !announced {
+            clock.sleep(BACKOFF.1);
+            continue;
+        }
+        let until = clock.now() + INSTANCES_INTERVAL;
+        while announced && clock.now() < until {
+            clock.sleep(ERA_INTERVAL);
+            let before = std::mem::replace(&mut era, shared.era());
+            announced = before.is_none() || era == before;
+        }
     }
 }
 
--- a/src/relay/state.rs
+++ b/src/relay/state.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::adapter::clock::{Clock, Millis};
+use crate::fleet::position;
 use crate::fleet::replica::{Batch, Replica, Topic};
 use crate::policy::place::Listing;
 use crate::relay::duty::Board;
@@ -164,6 +165,13 @@
         (lock(&self.config).end(), lock(&self.endpoints).end())
     }
 
+    /// Era of the platform; `None` before anything has been read.
+    pub fn era(&self) -> Option<u64> {
+        let (config, endpoints) = self.ends();
+        let end = config.max(endpoints);
+        (end > 0).then(|| position::era(end))
+    }
+
     /// Sets how far the alive peers have read.
     pub fn set_peer_offsets(&self, list: Vec<PeerOffsets>) {
         *lock(&self.peer_offsets) = list;
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -2,6 +2,8 @@
 //! instances, the log and the API do.
 #![allow(clippy::unwrap_used)]
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 
@@ -9,6 +11,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use sassafrasworks::adapter::clock::Clock;
+use sassafrasworks::fleet::position;
 use sassafrasworks::fleet::replica::{Batch, Record};
 use sassafrasworks::policy::lease::{Appended, Candidate, Entry, Term, choose};
 use sassafrasworks::policy::scale::Order;
@@ -48,8 +51,10 @@
     Unreached,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Log {
+    /// Number of times that it was restored from a copy.
+    era: u64,
     first: u64,
     records: Vec<Entry>,
     newest: IndexMap<String, (u64, Vec<u8>)>,
@@ -59,21 +64,29 @@
 }
 
 impl Log {
+    /// Position after the last record.
     fn end(&self) -> u64 {
-        self.first + self.records.len() as u64
+        position::at(self.era, self.first + self.records.len() as u64)
+    }
+
+    /// Goes back to a copy: what was appended since is lost, and its offsets are given out again.
+    fn restore(&mut self, copy: Self) {
+        *self = Self { era: self.era + 1, late: std::mem::take(&mut self.late), ..copy };
     }
 
     fn append(&mut self, at: u64, records: &[Entry]) -> Appended {
-        let end = self.end();
-        if at != end {
-            return Appended::Moved { end };
+        let end = position::offset(self.end());
+        if position::offset(at) != end {
+            return Appended::Moved { end: position::at(position::era(at), end) };
         }
         self.appends += 1;
         for entry in records {
-            self.newest.insert(entry.key.clone(), (self.end(), entry.value.clone()));
+            let offset = position::offset(self.end());
+            self.newest.insert(entry.key.clone(), (offset, entry.value.clone()));
             self.records.push(entry.clone());
         }
-        Appended::Done
+        let same_era = position::era(at) == self.era;
+        if same_era { Appended::Done } else { Appended::Unknown("restored".to_owned()) }
     }
 
     /// Loses all but the newest record of each key, and goes on at `first`.
@@ -135,18 +148,20 @@
     fn newest(&self) -> Result<Batch, SourceError> {
         self.check()?;
         let log = self.log.lock().unwrap();
-        let records = log.newest.iter().map(|(k, (o, v))| record(*o, k, v)).collect();
+        let at = |offset: &u64| position::at(log.era, *offset);
+        let records = log.newest.iter().map(|(k, (o, v))| record(at(o), k, v)).collect();
         Ok(Batch { end: log.end(), records, kept: Vec::new() })
     }
 
     fn read(&self, from: u64, _wait: u64) -> Result<Batch, SourceError> {
         self.check()?;
         let log = self.log.lock().unwrap();
-        if from < log.first || from > log.end() {
+        let first = position::at(log.era, log.first);
+        if from < first || from > log.end() {
             return Err(SourceError::Expired);
         }
-        let new = log.records.iter().enumerate().skip((from - log.first) as usize);
-        let records = new.map(|(i, e)| record(log.first + i as u64, &e.key, &e.value)).collect();
+        let new = log.records.iter().enumerate().skip((from - first) as usize);
+        let records = new.map(|(i, e)| record(first + i as u64, &e.key, &e.value)).collect();
         Ok(Batch { end: log.end(), records, kept: Vec::new() })
     }
 
@@ -618,6 +633,77 @@
     }
 }
 
+/// What happens while the log is away, before it comes back from a copy.
+#[derive(Clone, Copy)]
+enum Meanwhile {
+    Nothing,
+    /// The holder is killed and restarted.
+    HolderRestarts,
+    /// The others are killed and restarted.
+    FollowersRestart,
+    /// The holder is frozen until some seconds later.
+    HolderFreezes,
+    /// Another instance took over after the copy was made.
+    Takeover,
+}
+
+/// Guards against a report with another content, or a lower token, after the log came back from a copy
+/// that is some seconds old.
+fn assert_restored_log_keeps_the_rules((age, meanwhile): &(u64, Meanwhile)) {
+    let (mut world, old) = started();
+    world.run(6_000);
+    let copy = world.log.lock().unwrap().clone();
+    if let Meanwhile::Takeover = meanwhile {
+        world.nodes[old].frozen = true;
+    }
+    world.run(*age);
+    world.nodes[old].frozen = false;
+    world.set_all(LogFault::Refuses, ApiFault::None);
+    world.run(2_000);
+    world.log.lock().unwrap().restore(copy);
+    match meanwhile {
+        Meanwhile::Nothing | Meanwhile::Takeover => {}
+        Meanwhile::HolderRestarts => world.restart(old),
+        Meanwhile::FollowersRestart => {
+            (0..3).filter(|i| *i != old).for_each(|i| world.restart(i));
+        }
+        Meanwhile::HolderFreezes => world.nodes[old].frozen = true,
+    }
+    world.set_all(LogFault::None, ApiFault::None);
+    world.run(6_000);
+    world.nodes[old].frozen = false;
+    world.run(25_000);
+    world.check_rules();
+    assert!(world.calls.lock().unwrap().last().unwrap().at + 10_000 > world.clock.now());
+}
+
+cases! {
+    assert_restored_log_keeps_the_rules:
+    restored_log_keeps_tokens_and_reports => (9_000, Meanwhile::Nothing);
+    log_restored_from_a_new_copy_keeps_tokens_and_reports => (1_000, Meanwhile::Nothing);
+    log_restored_from_an_old_copy_keeps_tokens_and_reports => (30_000, Meanwhile::Nothing);
+    log_restored_while_the_holder_restarts_keeps_tokens_and_reports =>
+        (9_000, Meanwhile::HolderRestarts);
+    log_restored_while_the_followers_restart_keeps_tokens_and_reports =>
+        (9_000, Meanwhile::FollowersRestart);
+    log_restored_while_the_holder_is_frozen_keeps_tokens_and_reports =>
+        (9_000, Meanwhile::HolderFreezes);
+    log_restored_to_before_a_takeover_keeps_tokens_and_reports => (9_000, Meanwhile::Takeover);
+}
+
+#[test]
+fn log_restored_twice_keeps_tokens_and_reports() {
+    let (mut world, _) = started();
+    for age in [7_000, 9_000] {
+        let copy = world.log.lock().unwrap().clone();
+        world.run(age);
+        world.log.lock().unwrap().restore(copy);
+        world.run(8_000);
+    }
+    world.run(20_000);
+    world.check_rules();
+}
+
 #[test]
 fn all_instances_restarted_at_once_send_what_was_fixed() {
     let (mut world, old) = started();
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -14,6 +14,7 @@
 
 use indexmap::IndexMap;
 use sassafrasworks::adapter::clock::Clock;
+use sassafrasworks::fleet::position;
 use sassafrasworks::fleet::readers::{self, READERS};
 use sassafrasworks::fleet::replica::{Batch, EXPIRY_GRACE, MIN_OUTAGE, Record, Replica, Topic};
 use sassafrasworks::logs::RateLimiter;
@@ -317,6 +318,99 @@
     assert_eq!(keys(&replica), ["b", "c"]);
 }
 
+/// Records of a later era than those of [`two_entries`], which ends at an offset.
+fn later_era(end: u64, records: Vec<Record>) -> Batch {
+    let later = |r: Record| Record { offset: position::at(1, r.offset), ..r };
+    batch(position::at(1, end), records.into_iter().map(later).collect())
+}
+
+#[test]
+fn positions_of_a_later_era_are_later_whatever_their_offsets() {
+    assert!(position::at(1, 0) > position::at(0, 1_000_000));
+    let position = position::at(3, 17);
+    assert_eq!((position::era(position), position::offset(position)), (3, 17));
+    assert!(position::at(u64::MAX, 5) < 1 << 53, "exact in JSON");
+}
+
+#[test]
+fn restored_platform_is_read_although_its_end_is_lower() {
+    let mut replica = two_entries();
+    replica.append(1, batch(9, vec![record(8, "a", Some("2"))]));
+    let copy = vec![record(0, "a", Some("1")), record(1, "b", Some("3"))];
+    assert!(replica.reset(2, later_era(2, copy)));
+    assert_eq!(replica.end(), position::at(1, 2));
+    let next = Record { offset: position::at(1, 2), ..record(0, "a", Some("4")) };
+    assert!(replica.append(3, batch(position::at(1, 3), vec![next])));
+    let late = batch(10, vec![record(9, "a", Some("5"))]);
+    assert!(!replica.append(4, late), "a response of the era before");
+    let values: Vec<_> = replica.entries().map(|(_, v)| v.to_vec()).collect();
+    assert_eq!(values, [b"4".to_vec(), b"3".to_vec()]);
+}
+
+#[test]
+fn entry_that_a_restored_platform_lacks_gets_time_to_register_again() {
+    let mut replica = two_entries();
+    replica.reset(100, later_era(1, vec![record(0, "a", Some("1"))]));
+    assert_eq!(keys(&replica), ["a", "b"]);
+    replica.deny_outage(110, 0, 105);
+    assert!(!replica.expire(100 + EXPIRY_GRACE - 1));
+    assert!(replica.expire(100 + EXPIRY_GRACE));
+    assert_eq!(keys(&replica), ["a"]);
+}
+
+#[test]
+fn entry_that_was_removed_does_not_come_back_with_a_restored_platform() {
+    let mut replica = two_entries();
+    replica.append(10, batch(3, vec![record(2, "a", None)]));
+    let copy = vec![record(0, "a", Some("1")), record(1, "b", Some("1"))];
+    replica.reset(100, later_era(2, copy));
+    assert_eq!(keys(&replica), ["b"]);
+    let gone = Record { offset: position::at(1, 2), ..record(0, "a", None) };
+    replica.append(900, batch(position::at(1, 3), vec![gone]));
+    replica.expire(60_000);
+    assert_eq!(keys(&replica), ["b"]);
+}
+
+#[test]
+fn entry_that_is_still_there_after_a_while_or_written_again_counts() {
+    for written in [false, true] {
+        let mut replica = two_entries();
+        replica.append(10, batch(3, vec![record(2, "a", None)]));
+        let copy = vec![record(0, "a", Some("1")), record(1, "b", Some("1"))];
+        replica.reset(100, later_era(2, copy));
+        if written {
+            let again = Record { offset: position::at(1, 2), ..record(0, "a", Some("2")) };
+            assert!(replica.append(900, batch(position::at(1, 3), vec![again])));
+        } else {
+            assert!(replica.expire(10_000));
+        }
+        assert_eq!(keys(&replica), ["b", "a"]);
+    }
+}
+
+#[test]
+fn newer_value_stays_in_the_place_of_the_one_of_a_restored_platform() {
+    let mut replica = two_entries();
+    replica.append(10, batch(3, vec![record(2, "a", Some("5"))]));
+    let mut copy = later_era(2, vec![record(0, "a", Some("1")), record(1, "b", Some("7"))]);
+    replica.carry_over(&mut copy, |_, own, theirs| own > theirs);
+    assert!(replica.reset(100, copy));
+    let values: Vec<_> = replica.entries().map(|(_, v)| v.to_vec()).collect();
+    assert_eq!(values, [b"5".to_vec(), b"7".to_vec()]);
+    let mut same = batch(position::at(1, 3), vec![record(2, "a", Some("1"))]);
+    replica.carry_over(&mut same, |_, _, _| true);
+    assert_eq!(same.records[0].value.as_deref(), Some(b"1".as_slice()), "within one era");
+}
+
+#[test]
+fn peer_of_a_later_era_is_ahead_and_one_of_an_earlier_era_is_not() {
+    let mut replica = two_entries();
+    let copy = vec![record(0, "a", Some("9"))];
+    assert!(replica.adopt(1, later_era(1, copy)));
+    assert!(!replica.adopt(2, batch(1_000, vec![record(999, "a", Some("1"))])));
+    assert_eq!(replica.entries().next(), Some(("a", b"9".as_slice())));
+}
+
 #[test]
 fn older_list_is_not_passed_on_after_a_newer_one() {
     // Two threads change the replica, and the one with the older list comes last.
