A fleet that starts in a later era doesn't take its log for a restored one

Cause: the first acquisition of the lease in an era counted as the one after a restore, also where the log had never held a lease.

--- a/src/policy/lease/mod.rs
+++ b/src/policy/lease/mod.rs
@@ -258,8 +258,9 @@
     pub fn is_blind(&self) -> bool {
         let Some(view) = &self.view else { return false };
         let era = position::era(view.end);
-        let acquired = view.last.as_ref().map_or(0, |l| position::era(l.token));
-        era > acquired && self.known_until != Some(era)
+        // Without any lease, the fleet starts for the first time.
+        let last = view.last.as_ref().is_some_and(|l| position::era(l.token) < era);
+        last && self.known_until != Some(era)
     }
 
     /// Continues with the append whose outcome is not known. The same records at the same offset can
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -691,6 +691,20 @@
     log_restored_to_before_a_takeover_keeps_tokens_and_reports => (9_000, Meanwhile::Takeover);
 }
 
+/// Guards against a fleet that takes its first start for a restored log, and waits or leaves windows out.
+#[test]
+fn first_start_in_a_later_era_is_like_any_other() {
+    let reports = |era: u64| {
+        let mut world = World::new(3);
+        world.log.lock().unwrap().era = era;
+        world.run(20_000);
+        world.check();
+        let calls = world.calls.lock().unwrap();
+        calls.iter().map(|c| (c.at, c.window)).collect::<Vec<_>>()
+    };
+    assert_eq!(reports(1), reports(0));
+}
+
 #[test]
 fn log_restored_twice_keeps_tokens_and_reports() {
     let (mut world, _) = started();
