Hidden entries stay hidden when the restored store is read in full once more

Found in review: a second full read in the same era brought an entry back before its time, and kept one hidden that the store no longer lists.

--- a/src/fleet/replica.rs
+++ b/src/fleet/replica.rs
@@ -204,6 +204,7 @@
         let listed =
             |k: &String| batch.kept.contains(k) || batch.records.iter().any(|r| r.key == *k);
         let missing: Vec<String> = self.entries.keys().filter(|k| !listed(k)).cloned().collect();
+        self.hidden.retain(|k, _| listed(k));
         for key in missing {
             if restored {
                 self.keep_for_grace(&key, now);
@@ -323,6 +324,9 @@
             }
             return false;
         }
+        if self.hidden.get(&record.key).is_some_and(|(_, e)| e.offset >= record.offset) {
+            return false;
+        }
         self.hidden.shift_remove(&record.key);
         let Some(value) = record.value else { return self.remove(now, &record.key) };
         let remove_at = record.remaining.map(|ms| now + ms);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -365,6 +365,9 @@
     let copy = vec![record(0, "a", Some("1")), record(1, "b", Some("1"))];
     replica.reset(100, later_era(2, copy));
     assert_eq!(keys(&replica), ["b"]);
+    let again = vec![record(0, "a", Some("1")), record(1, "b", Some("1"))];
+    replica.reset(500, later_era(2, again));
+    assert_eq!(keys(&replica), ["b"], "read in full once more");
     let gone = Record { offset: position::at(1, 2), ..record(0, "a", None) };
     replica.append(900, batch(position::at(1, 3), vec![gone]));
     replica.expire(60_000);
