Reports of limits apply to the service that lists the endpoint only

Found in review: each service kept a limit that a peer reported, so relay_limited_endpoints counted an endpoint once for each service, and the others held it for a minute. 54 of 54 in tests/limits.rs.

--- a/src/policy/limit/mod.rs
+++ b/src/policy/limit/mod.rs
@@ -175,6 +175,9 @@
 
     /// Number of endpoints that have a limit, or one that has just ended.
     pub fn count(&self, now: Millis) -> usize {
+        if !self.any {
+            return 0;
+        }
         self.all.values().filter(|t| t.holds(now)).count()
     }
 }
--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -20,12 +20,12 @@
 
 use std::collections::VecDeque;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::adapter::clock::Millis;
 use crate::mechanism::{self, Mechanism};
-use crate::policy::limit::Limits;
+use crate::policy::limit::{Change, Limits, Report};
 
 /// Maximum predicted time until the first event on an engine that has prompts pending, as a fraction
 /// of the request's target. What waits here instead goes to the first engine with room.
@@ -245,6 +245,8 @@
     endpoints: IndexMap<String, Endpoint>,
     /// What is known of incarnations that are not listed now, oldest first: one may be listed again.
     unlisted: IndexMap<String, Notices>,
+    /// Keys of the endpoints' incarnations.
+    keys: IndexSet<u32>,
     /// Indices of the endpoints, sorted by the hash of their ids: the same order on every instance.
     order: Vec<usize>,
     /// Number of endpoints in the tight partition.
@@ -303,6 +305,7 @@
                 }
             }
         }
+        self.keys = self.endpoints.values().map(Endpoint::key).collect();
         self.order = (0..self.endpoints.len()).collect();
         self.order.sort_by_key(|i| self.endpoints[*i].id_hash());
         self.refreshed_at = 0;
@@ -381,10 +384,20 @@
         self.speed = all.speed();
     }
 
+    /// Applies what another instance tells of an endpoint's limit. Returns the change and the id of the
+    /// endpoint, if it is listed and there is one.
+    pub fn hear_limit(&mut self, now: Millis, report: &Report) -> Option<(Change, &str)> {
+        if !self.keys.contains(&report.key) {
+            return None;
+        }
+        let change = self.limits.hear(now, report)?;
+        let endpoint = self.endpoints.values().find(|e| e.key() == report.key)?;
+        Some((change, &endpoint.listing.id))
+    }
+
     /// Forgets limits of endpoints that are gone.
     pub fn expire_limits(&mut self, now: Millis) {
-        let Self { limits, endpoints, .. } = self;
-        limits.expire(now, |key| endpoints.values().any(|e| e.key() == key));
+        self.limits.expire(now, |key| self.keys.contains(&key));
     }
 
     /// Sets the typical age of the load placed by peers, in milliseconds.
--- a/src/relay/driver/limits.rs
+++ b/src/relay/driver/limits.rs
@@ -65,9 +65,8 @@
         let mut changes = Vec::new();
         for report in &heartbeat.limits {
             for (service, pool) in &mut self.pools {
-                let Some(change) = pool.balancer.limits.hear(now, report) else { continue };
-                let listed = pool.balancer.endpoints().find(|e| e.key() == report.key);
-                changes.extend(listed.map(|e| (service.clone(), e.listing.id.clone(), change)));
+                let heard = pool.balancer.hear_limit(now, report);
+                changes.extend(heard.map(|(c, id)| (service.clone(), id.to_owned(), c)));
             }
         }
         for (service, endpoint, change) in &changes {
