Policy for the software version at which a stream may go on, not used yet

What callers see: streams joined from two software versions (ORDER). The policy keeps a base version for each service, which is on record in the platform; streams that begin at other versions are recorded before they are sent, so that one that is on no record began at the base. Decisions only, no I/O; the driver doesn't use it yet.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -11,6 +11,7 @@
 pub mod lease;
 pub mod length;
 pub mod limit;
+pub mod origin;
 pub mod place;
 pub mod pool;
 pub mod queue;
