Streams: requests are sent to, and resumed at, the software version that began them

The driver asks the policy before a request is sent and when one is resumed, records what begins at another version than the base, and refuses what can't go on. Endpoints' entries give their version, requests the header with the resumed attempt; placement takes a version as a requirement.

--- a/src/mechanism.rs
+++ b/src/mechanism.rs
@@ -61,6 +61,8 @@
     RetryAfter,
     /// The capacity of each endpoint is learned from the times of its responses.
     Capacity,
+    /// A stream goes on only at the software version that began it.
+    Versions,
     /// Limits on requests that endpoints name are kept.
     Limits,
     /// What callers and endpoints make a relay hold is bounded by its budget.
--- a/src/policy/origin/mod.rs
+++ b/src/policy/origin/mod.rs
@@ -371,6 +371,11 @@
         self.changes.made
     }
 
+    /// True if something is to be written.
+    pub fn has_writes(&self) -> bool {
+        self.era.is_some() && !self.unwritten.is_empty()
+    }
+
     /// Keys and values to write now; none before records were read. Bases are held back while a restored
     /// platform may have lost records.
     pub fn take_writes(&mut self, now: Millis) -> Vec<(String, Vec<u8>)> {
--- a/src/policy/origin/record.rs
+++ b/src/policy/origin/record.rs
@@ -39,6 +39,10 @@
     }
 }
 
+/// Streams that began at one software version: attempts and the time for which their callers wait, in
+/// milliseconds.
+type Began = Vec<(Attempt, u32)>;
+
 data! {
     /// The base version of a service.
     pub struct Marker {
@@ -53,8 +57,8 @@
     /// be resumed.
     #[derive(Default)]
     pub struct StreamsRecord {
-        /// Attempts and the time for which their callers wait, in milliseconds.
-        pub services: IndexMap<String, IndexMap<Option<Software>, Vec<(Attempt, u32)>>>,
+        /// Streams by service and version.
+        pub services: IndexMap<String, IndexMap<Option<Software>, Began>>,
     }
 }
 
--- a/src/policy/place/backlog.rs
+++ b/src/policy/place/backlog.rs
@@ -4,6 +4,7 @@
 use indexmap::IndexMap;
 
 use crate::adapter::clock::Millis;
+use crate::policy::origin::Software;
 
 /// Maximum failed sends per group in one pass over the queue; the rest of the group is skipped.
 const MAX_MISSES: u32 = 4;
@@ -32,18 +33,21 @@
     queued.sort();
 }
 
-/// Failed sends of one pass by group: requests with the same service and target gap.
+/// Requests with the same service and target gap, and the same software version if they need one.
+pub type Group = (String, u64, Option<Software>);
+
+/// Failed sends of one pass by group.
 #[derive(Debug, Default)]
-pub struct Misses(IndexMap<(String, u64), u32>);
+pub struct Misses(IndexMap<Group, u32>);
 
 impl Misses {
     /// True if another request of the group may be tried.
-    pub fn allow(&self, service: &str, gap: u64) -> bool {
-        self.0.get(&(service.to_owned(), gap)).is_none_or(|n| *n < MAX_MISSES)
+    pub fn allow(&self, group: &Group) -> bool {
+        self.0.get(group).is_none_or(|n| *n < MAX_MISSES)
     }
 
     /// Counts a failed send.
-    pub fn record(&mut self, service: &str, gap: u64) {
-        *self.0.entry((service.to_owned(), gap)).or_default() += 1;
+    pub fn record(&mut self, group: Group) {
+        *self.0.entry(group).or_default() += 1;
     }
 }
--- a/src/policy/place/endpoint.rs
+++ b/src/policy/place/endpoint.rs
@@ -8,6 +8,7 @@
 use super::capacity::{Capacity, Learned};
 use crate::adapter::clock::Millis;
 use crate::mechanism::{self, Mechanism};
+use crate::policy::origin::Software;
 
 /// Maximum shared prompt segments tracked per endpoint.
 const MAX_CACHED_SEGMENTS: usize = 256;
@@ -100,6 +101,8 @@
     pub leaves_in: Option<u64>,
     /// Start time in milliseconds, which tells incarnations with the same id apart; 0 if unknown.
     pub started_at: u64,
+    /// Version of its software.
+    pub version: String,
 }
 
 impl Listing {
@@ -107,6 +110,19 @@
     pub fn incarnation(&self) -> String {
         format!("{}/{}", self.id, self.started_at)
     }
+
+    /// Its software version within the service.
+    pub fn software(&self) -> Software {
+        Software::of(&self.service, &self.version)
+    }
+
+    /// True if another listing is of the same incarnation.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.id == other.id
+            && self.started_at == other.started_at
+            && self.version == other.version
+            && self.service == other.service
+    }
 }
 
 /// What is known of an incarnation for good or for a stated time, whether it is listed or not.
@@ -135,6 +151,8 @@
     id_hash: u64,
     /// Hash of its incarnation, for messages.
     key: u32,
+    /// Version of its software; `None` only by default.
+    software: Option<Software>,
     /// Running and waiting requests as last reported by the endpoint itself, and when.
     reported: (u32, Millis),
     notices: Notices,
@@ -154,7 +172,8 @@
     pub fn new(listing: Listing) -> Self {
         let id_hash = xxh3_64(listing.id.as_bytes());
         let key = xxh3_64(listing.incarnation().as_bytes()) as u32;
-        Self { id_hash, key, listing, ..Self::default() }
+        let software = Some(listing.software());
+        Self { id_hash, key, software, listing, ..Self::default() }
     }
 
     /// Creates an endpoint of which something is known already.
@@ -177,6 +196,11 @@
         self.key
     }
 
+    /// Version of its software.
+    pub fn software(&self) -> Option<Software> {
+        self.software
+    }
+
     /// What it takes, compared with a typical endpoint of its service.
     pub fn capacity(&self) -> Capacity {
         self.learned.capacity
--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -26,6 +26,7 @@
 use crate::adapter::clock::Millis;
 use crate::mechanism::{self, Mechanism};
 use crate::policy::limit::{Change, Limits, Report};
+use crate::policy::origin::Software;
 
 /// Maximum predicted time until the first event on an engine that has prompts pending, as a fraction
 /// of the request's target. What waits here instead goes to the first engine with room.
@@ -119,6 +120,8 @@
     pub waited: u64,
     /// Endpoints that must not be chosen.
     pub avoid: Vec<String>,
+    /// The only software version that may be chosen, if there is one.
+    pub software: Option<Software>,
 }
 
 impl Requirements {
@@ -291,9 +294,7 @@
         self.endpoints.retain(|id, _| list.iter().any(|l| l.id == *id));
         for listing in list {
             match self.endpoints.get_mut(&listing.id) {
-                Some(e) if e.listing.started_at == listing.started_at => {
-                    e.listing = listing.clone()
-                }
+                Some(e) if e.listing.is_same(listing) => e.listing = listing.clone(),
                 _ => {
                     let known = self.unlisted.shift_remove(&listing.incarnation());
                     let endpoint =
@@ -330,6 +331,16 @@
         }
     }
 
+    /// Software versions of the endpoints that accept work.
+    pub fn versions(&self) -> IndexSet<Software> {
+        self.endpoints().filter(|e| e.accepts_work()).filter_map(Endpoint::software).collect()
+    }
+
+    /// Software versions of all endpoints that are listed.
+    pub fn listed_versions(&self) -> IndexSet<Software> {
+        self.endpoints().filter_map(Endpoint::software).collect()
+    }
+
     /// An endpoint by id.
     pub fn get(&self, id: &str) -> Option<&Endpoint> {
         self.endpoints.get(id)
@@ -702,7 +713,11 @@
         let eligible = |accepts: &dyn Fn(&Endpoint) -> bool| -> Vec<usize> {
             let fits = |i: &usize| {
                 let e = &self.endpoints[*i];
-                accepts(e) && !e.is_paused(now) && !needs.avoid.contains(&e.listing.id)
+                let runs_version = needs.software.is_none() || needs.software == e.software();
+                runs_version
+                    && accepts(e)
+                    && !e.is_paused(now)
+                    && !needs.avoid.contains(&e.listing.id)
             };
             self.order.iter().copied().filter(fits).collect()
         };
--- a/src/relay/driver/answers.rs
+++ b/src/relay/driver/answers.rs
@@ -184,6 +184,9 @@
     fn forward_events(&mut self, index: usize, data: &[u8]) -> ParseStep {
         let now = self.clock.now();
         let Some(caller) = self.links[index].caller else { return ParseStep::Incomplete };
+        if self.mixes_versions(caller.index) {
+            return Fault::Version.into();
+        }
         let Some(exchange) = self.callers.get_mut(caller.index).and_then(|c| c.exchange.as_mut())
         else {
             return ParseStep::Incomplete;
@@ -199,6 +202,7 @@
         let mut out = Vec::new();
         let first = !exchange.streaming;
         exchange.streaming = true;
+        self.fix_version(caller.index);
         self.finish_prefill(caller.index);
         self.observe_gap(caller.index, now);
         if first {
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -2,17 +2,20 @@
 
 use std::sync::Arc;
 
+use super::origins::Resumption;
 use super::{DRAIN_MAX_MS, DRAIN_MIN_MS, Driver, Pool};
 use crate::adapter::clock::Millis;
 use crate::fleet::replica::Topic;
+use crate::mechanism::{self, Mechanism};
 use crate::policy::fair::{self, Stance};
+use crate::policy::origin::Readiness;
 use crate::policy::place::{Balancer, Block, Choice, Load, Misses, Queued, Requirements};
 use crate::relay::caller::Request;
-use crate::relay::exchange::Exchange;
+use crate::relay::exchange::{Exchange, Lineage, Resume};
 use crate::relay::link::CallerRef;
 use crate::relay::queue::QueueKey;
 use crate::relay::stats::{RouteLabels, WorkspaceLabels};
-use crate::relay::table::{Route, RoutingTable, Workspace};
+use crate::relay::table::{Route, RouteKind, RoutingTable, Workspace};
 use crate::relay::timers::Owner;
 
 /// `Retry-After` of a request that is refused before it has a route.
@@ -30,6 +33,8 @@
     Full(Load, Block),
     /// Not sent for the given reason.
     Unsent(&'static str),
+    /// The request has been answered instead.
+    Ended,
 }
 
 /// Why the relay refuses a request.
@@ -46,6 +51,14 @@
     Stopping,
     NotRun,
     Overloaded,
+    /// The headers that name the stream to resume are malformed.
+    BadResume,
+    /// Nobody knows which software version began the stream.
+    UnknownOrigin,
+    /// No endpoint has the software version that began the stream.
+    NoVersion,
+    /// The version that begins the stream can't be recorded.
+    NoRecord,
 }
 
 impl RefuseReason {
@@ -54,7 +67,7 @@
         match self {
             Self::NoRoute => 404,
             Self::NoKey => 401,
-            Self::NoAttempt => 400,
+            Self::NoAttempt | Self::BadResume => 400,
             _ => 503,
         }
     }
@@ -73,6 +86,10 @@
             Self::Stopping => "instance is stopping",
             Self::NotRun => "endpoints did not run it",
             Self::Overloaded => "no room for buffers",
+            Self::BadResume => "stream to resume is malformed",
+            Self::UnknownOrigin => "version that began the stream is unknown",
+            Self::NoVersion => "version that began the stream is gone",
+            Self::NoRecord => "version of the stream can't be recorded",
         }
     }
 }
@@ -114,7 +131,14 @@
         }
         let service = route.pick_service(rand::random()).ok_or(RefuseReason::NoService)?;
         let now = self.clock.now();
-        let exchange = Exchange::new(names, request, route, service, workspace, table.version);
+        let resume = match route.kind {
+            RouteKind::Resumable if mechanism::on(Mechanism::Versions) => {
+                Resume::parse(names, head).map_err(|_| RefuseReason::BadResume)?
+            }
+            _ => None,
+        };
+        let mut exchange = Exchange::new(names, request, route, service, workspace, table.version);
+        exchange.resume = resume;
         if self.is_quarantined(now, &exchange.contents) {
             return Err(RefuseReason::Quarantined);
         }
@@ -142,25 +166,36 @@
         if !self.stop_allows(exchange) {
             return self.end_request(index, RefuseReason::Stopping);
         }
+        match self.resolve_resume(index) {
+            Resumption::Free => {}
+            Resumption::Wait => return self.enqueue(index, "records read", Load::default()),
+            Resumption::Refuse(reason) => return self.end_request(index, reason),
+        }
+        if self.lost_version(index) {
+            return self.end_request(index, RefuseReason::NoVersion);
+        }
         if self.must_wait(index) {
             return self.enqueue(index, "behind others", Load::default());
         }
         match self.try_send(index) {
-            SendOutcome::Sent => {}
+            SendOutcome::Sent | SendOutcome::Ended => {}
             SendOutcome::Full(least, block) => self.enqueue(index, block.name(), least),
             SendOutcome::Unsent(why) => self.enqueue(index, why, Load::default()),
         }
     }
 
     /// True if a request with the same service and target gap is queued already at the same or a
-    /// higher priority.
+    /// higher priority, for the same endpoints or more.
     fn must_wait(&self, index: usize) -> bool {
         let Some(own) = self.callers[index].exchange.as_ref() else { return false };
         self.queue.ordered().iter().any(|(key, other)| {
             let other = self.callers.get(*other).and_then(|c| c.exchange.as_ref());
             key.0 <= own.priority()
                 && other.is_some_and(|o| {
-                    o.service == own.service && o.requirements.gap == own.requirements.gap
+                    let (theirs, needs) = (&o.requirements, &own.requirements);
+                    let is_wide = theirs.software.is_none() || theirs.software == needs.software;
+                    let waits_for_room = !matches!(o.lineage, Lineage::Reading(_));
+                    o.service == own.service && theirs.gap == needs.gap && is_wide && waits_for_room
                 })
         })
     }
@@ -287,9 +322,14 @@
             let Some(exchange) = self.callers.get(index).and_then(|c| c.exchange.as_ref()) else {
                 continue;
             };
-            let (service, gap) = (exchange.service.clone(), exchange.requirements.gap);
-            if misses.allow(&service, gap) && !matches!(self.try_send(index), SendOutcome::Sent) {
-                misses.record(&service, gap);
+            let Requirements { gap, software, .. } = exchange.requirements;
+            let group = (exchange.service.clone(), gap, software);
+            if self.lost_version(index) {
+                self.end_request(index, RefuseReason::NoVersion);
+            } else if misses.allow(&group)
+                && !matches!(self.try_send(index), SendOutcome::Sent | SendOutcome::Ended)
+            {
+                misses.record(group);
             }
         }
         self.metrics.waiting.set(self.queue.len() as i64);
@@ -307,9 +347,13 @@
     /// Sends a request if an endpoint has capacity and a connection to it is available.
     fn try_send(&mut self, index: usize) -> SendOutcome {
         let now = self.clock.now();
+        self.restrict_versions(index);
         let Some(exchange) = self.callers[index].exchange.as_ref() else {
             return SendOutcome::Sent;
         };
+        if matches!(exchange.lineage, Lineage::Reading(_)) {
+            return SendOutcome::Unsent("records read");
+        }
         let (service, mut needs) = (exchange.service.clone(), exchange.requirements.clone());
         needs.waited = now.saturating_sub(exchange.arrived);
         let stance = self.stance(now, exchange);
@@ -319,10 +363,22 @@
             Choice::Chosen(endpoint, load) => (endpoint, load),
             Choice::Full(least, block) => {
                 self.set_blocked(index, block);
+                self.free_version(index);
                 return SendOutcome::Full(least, block);
             }
-            Choice::NoEndpoint => return SendOutcome::Unsent("no endpoint"),
+            Choice::NoEndpoint => {
+                self.free_version(index);
+                return SendOutcome::Unsent("no endpoint");
+            }
         };
+        match self.prepare_origin(index, &endpoint) {
+            Readiness::Ready => {}
+            Readiness::Wait => return SendOutcome::Unsent("not on record"),
+            Readiness::Stuck => {
+                self.end_request(index, RefuseReason::NoRecord);
+                return SendOutcome::Ended;
+            }
+        }
         let Some(link) = self.acquire_link(index, &service, &endpoint) else {
             return SendOutcome::Unsent("no connection");
         };
@@ -350,6 +406,7 @@
                 predicted,
                 limit,
                 recent,
+                software = self.version_of(&service, &endpoint),
                 list_age = age,
                 "relay: sent"
             );
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod limits;
 mod links;
+mod origins;
 mod outcome;
 mod peers;
 mod stopping;
@@ -44,6 +45,7 @@
 use crate::adapter::clock::{Clock, Millis};
 use crate::policy::drain::Drain;
 use crate::policy::fair;
+use crate::policy::origin::Origins;
 use crate::policy::place::Balancer;
 use crate::policy::report::Reports;
 use crate::policy::scale::Meter;
@@ -94,6 +96,8 @@
     pub budget: Budget,
     /// Duties of the fleet; `None` if there are none.
     pub duties: Option<Duties>,
+    /// The whole fleet starts for the first time.
+    pub first_start: bool,
     /// Header names.
     pub names: HeaderNames,
 }
@@ -186,6 +190,12 @@
     /// Index up to which callers have been compared at the limit of connections.
     compared_until: usize,
     shed_log: ShedLog,
+    /// Software versions that began streams.
+    origins: Origins,
+    /// Number of the read of the ledger that tells whether bases still hold, if there is one.
+    base_read: Option<u64>,
+    /// Time at which records were last passed on to be written.
+    flushed_at: Millis,
     /// Requests that began to run, for usage reports.
     counter: Counter,
     /// Candidates that have received the counts, by name and start time.
@@ -211,6 +221,7 @@
         let shared = Arc::new(Shared::new(clock.clone(), waker));
         shared.set_instances(vec![(setup.name.clone(), setup.peers)]);
         let peers = Peers::new(&setup.name);
+        let origins = Origins::new(&setup.name, setup.first_start);
         let mut timers = Timers::default();
         timers.set(now + gossip::INTERVAL, Owner::Gossip);
         if setup.duties.is_some() {
@@ -265,6 +276,9 @@
             read_lacked_room: false,
             compared_until: 0,
             shed_log: ShedLog::default(),
+            origins,
+            base_read: None,
+            flushed_at: 0,
             counter: Counter::default(),
             informed: Vec::new(),
         })
@@ -324,6 +338,7 @@
         self.check_refused();
         self.end_quarantined();
         self.drain_queue(self.clock.now());
+        self.flush_origins();
         self.limit_buffers();
         let ended = self.advance_stop(quiet && self.unread.is_empty());
         if ended {
@@ -370,7 +385,7 @@
                 Owner::Peers => self.apply_peer_loads(now),
                 Owner::Digest => self.send_digests(now),
                 Owner::Usage => self.send_counts(now),
-                Owner::Queue | Owner::Stop => {}
+                Owner::Queue | Owner::Stop | Owner::Ledger => {}
             }
         }
     }
--- a/src/relay/driver/outcome.rs
+++ b/src/relay/driver/outcome.rs
@@ -84,6 +84,7 @@
         let (service, contents) = (exchange.service.clone(), exchange.contents.clone());
         let endpoint = placement.as_ref().map(|p| p.endpoint.clone()).unwrap_or_default();
         exchange.requirements.avoid.push(endpoint.clone());
+        exchange.sent_to = None;
         let (id, route) = (exchange.id.clone(), exchange.route.name.clone());
         if let Some(placement) = &placement {
             self.pool(&service).balancer.end(placement);
@@ -145,11 +146,10 @@
         let Some(exchange) = self.callers[caller].exchange.as_mut() else { return };
         let left = exchange.deadline.saturating_sub(now);
         exchange.queue_deadline = now + left / 2;
-        let (service, needs) = (exchange.service.clone(), exchange.requirements.clone());
-        let balancer = &mut self.pool(&service).balancer;
-        let has_others =
-            balancer.endpoints().any(|e| e.accepts_work() && !needs.avoid.contains(&e.listing.id));
-        if !has_others && let Some(exchange) = self.callers[caller].exchange.as_mut() {
+        self.free_version(caller);
+        if !self.has_other(caller)
+            && let Some(exchange) = self.callers[caller].exchange.as_mut()
+        {
             exchange.requirements.avoid.clear();
         }
         self.dispatch(caller);
--- a/src/relay/driver/peers.rs
+++ b/src/relay/driver/peers.rs
@@ -29,7 +29,8 @@
     /// Applies updates from other threads: a new table, lists of endpoints and instances, or a stop
     /// request.
     pub(super) fn apply_updates(&mut self) {
-        let updates = self.shared.take_updates();
+        let mut updates = self.shared.take_updates();
+        self.apply_ledger(&mut updates);
         if let Some(table) = updates.table {
             self.apply_table(table);
         }
@@ -67,6 +68,7 @@
         self.has_workspaces = self.workspaces.len() > 1;
         self.table = table;
         let table = Arc::clone(&self.table);
+        self.extend_lifetime(&table);
         for (name, service) in &table.services {
             let Service { batch, memory, gaps, .. } = *service;
             let profile = Profile { batch, memory, gaps };
@@ -86,6 +88,7 @@
                 listings.iter().filter(|l| l.service == name).cloned().collect();
             self.log_changes(&name, &own);
             self.detect_crashes(&name, &own);
+            self.check_restarts(&name, &own);
             self.pool(&name).balancer.sync(&own);
             self.pool(&name).balancer.note_leaving(now);
         }
@@ -93,6 +96,7 @@
             tracing::info!(endpoints = listings.len(), "relay: list of endpoints received");
         }
         self.has_listings = true;
+        self.observe_versions(now);
         self.drop_unlisted_links();
         self.schedule_heartbeat();
     }
@@ -103,13 +107,20 @@
         for l in listings {
             match balancer.get(&l.id) {
                 None => {
-                    tracing::info!(service, endpoint = l.id, addr = l.addr, "relay: endpoint added")
+                    tracing::info!(
+                        service,
+                        endpoint = l.id,
+                        addr = l.addr,
+                        software = l.version,
+                        "relay: endpoint added"
+                    );
                 }
                 Some(e) if e.listing.started_at != l.started_at => {
                     tracing::info!(
                         service,
                         endpoint = l.id,
                         started_at = l.started_at,
+                        software = l.version,
                         "relay: endpoint restarted"
                     );
                 }
@@ -159,6 +170,7 @@
         self.report_slow_endpoints();
         self.expire_limits(now);
         self.update_replicas(now);
+        self.observe_versions(now);
         self.update_duties(now);
         let me = (self.setup.name.clone(), self.setup.peers);
         self.shared.set_instances(self.peers.alive_addrs(now).chain([me]).collect());
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -12,6 +12,7 @@
 use super::table::{Route, RouteKind, Workspace};
 use crate::adapter::clock::Millis;
 use crate::policy::fair;
+use crate::policy::origin::Software;
 use crate::policy::place::{Block, Placement, Requirements};
 use crate::policy::suspect::{Content, segment_content};
 use crate::wire::{self, Head};
@@ -36,6 +37,54 @@
     timeout: f64,
 }
 
+/// How far the software version of a stream is decided. Other requests stay free.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Lineage {
+    /// It may begin at any version that its requirements allow.
+    Free,
+    /// It waits until the version at which it will begin is on record.
+    Recording,
+    /// It resumes a stream, and waits until the ledger's read with this number has ended.
+    Reading(u64),
+    /// It has had an event, or goes on with a stream that had: only the version in its requirements may
+    /// serve it.
+    Fixed,
+}
+
+/// The stream that a caller resumes.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) struct Resume {
+    /// Id of the attempt that brought its first event, if the caller names it.
+    pub(super) attempt: Option<String>,
+    /// Id of the last event that the caller has.
+    pub(super) last_event: u64,
+}
+
+/// Maximum length of the id of the attempt that a caller resumes, in bytes.
+const MAX_ATTEMPT_LEN: usize = 256;
+
+impl Resume {
+    /// Parses the stream that a request resumes; `None` if it begins one. Returns an error if the headers
+    /// are malformed or stand there twice.
+    pub(super) fn parse(names: &HeaderNames, head: &Head) -> Result<Option<Self>, ResumeError> {
+        let Some(last) = head.get(names.last_event) else { return Ok(None) };
+        if head.count(names.last_event) > 1 || head.count(names.resumes) > 1 {
+            return Err(ResumeError);
+        }
+        let last_event = last.trim().parse().map_err(|_| ResumeError)?;
+        let attempt = head.get(names.resumes).map(|a| a.trim().to_owned());
+        let valid = |a: &String| !a.is_empty() && a.len() <= MAX_ATTEMPT_LEN;
+        if !attempt.as_ref().is_none_or(valid) {
+            return Err(ResumeError);
+        }
+        Ok(Some(Self { attempt, last_event }))
+    }
+}
+
+/// The headers that name the stream to resume are malformed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct ResumeError;
+
 /// A request in flight.
 #[derive(Debug)]
 pub(super) struct Exchange {
@@ -68,6 +117,13 @@
     /// Index of the connection that it was sent over.
     pub(super) link: Option<usize>,
     pub(super) placement: Option<Placement>,
+    /// The stream that it resumes.
+    pub(super) resume: Option<Resume>,
+    pub(super) lineage: Lineage,
+    /// Software version and incarnation of the endpoint that it was sent to, until the first event.
+    pub(super) sent_to: Option<(Software, u32)>,
+    /// Time until which its caller waits, in further attempts too.
+    pub(super) waits_until: Millis,
     pub(super) splitter: Splitter,
     /// The head of the event stream has been sent to the caller.
     pub(super) streaming: bool,
@@ -95,7 +151,8 @@
         let contents = std::iter::once(whole).chain(segments).collect();
         let last = head.get(names.last_event).and_then(|v| v.parse().ok());
         let given = head.get(names.deadline).and_then(|v| v.parse().ok());
-        let timeout = given.unwrap_or(u64::MAX).min(route.timeout);
+        let waits: u64 = given.unwrap_or(u64::MAX);
+        let timeout = waits.min(route.timeout);
         Self {
             id: head.get(names.attempt).unwrap_or_default().to_owned(),
             route: Arc::clone(route),
@@ -115,6 +172,10 @@
             runs: 0,
             link: None,
             placement: None,
+            resume: None,
+            lineage: Lineage::Free,
+            sent_to: None,
+            waits_until: arrived.saturating_add(waits),
             splitter: Splitter::new(last),
             streaming: false,
             pace_from: None,
@@ -222,6 +283,7 @@
         priority: 0,
         waited: 0,
         avoid: Vec::new(),
+        software: None,
     }
 }
 
--- a/src/relay/fault.rs
+++ b/src/relay/fault.rs
@@ -23,6 +23,9 @@
     /// It is no stream of events, although another endpoint has begun to send one.
     #[error("not an event stream")]
     NoEvents,
+    /// Its endpoint has turned out to have another software version than began the stream.
+    #[error("another software version")]
+    Version,
     /// It may be the copy of an earlier refusal.
     #[error("refusal without an id")]
     Ambiguous,
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -563,6 +563,17 @@
         1 + self.all.values().filter(shares).count()
     }
 
+    /// True if this instance hears from all others, in their groups' digests where there are groups.
+    pub fn is_complete(&self, now: Millis) -> bool {
+        match self.groups.0 {
+            1 => self.sharers(now) == 1 + self.alive(now).count(),
+            _ => {
+                self.addrs().count() == self.members(now).count()
+                    && self.remote(now).next().is_some()
+            }
+        }
+    }
+
     /// What this instance knows of those that share limits with it. `waits` is true if it has had
     /// requests in its queue for a while.
     pub fn limit_fleet(&self, now: Millis, waits: bool) -> Fleet {
--- a/src/relay/names.rs
+++ b/src/relay/names.rs
@@ -33,6 +33,8 @@
     pub hint: &'static str,
     /// Id of the last event that the receiver has.
     pub last_event: &'static str,
+    /// Id of the attempt that brought the first event of a stream that a caller resumes.
+    pub resumes: &'static str,
     /// Other headers that callers must not set; they are dropped.
     pub reserved: &'static [&'static str],
     /// Path of the readiness check.
@@ -49,7 +51,15 @@
     /// True for a header without which a request would mean something else. It is forwarded even if
     /// the `Connection` header names it.
     pub fn is_end_to_end(&self, name: &str) -> bool {
-        let names = [self.attempt, self.prefix, self.tokens, self.last_event, self.hint, "host"];
+        let names = [
+            self.attempt,
+            self.prefix,
+            self.tokens,
+            self.last_event,
+            self.resumes,
+            self.hint,
+            "host",
+        ];
         names.iter().any(|n| n.eq_ignore_ascii_case(name))
     }
 }
--- a/src/relay/timers.rs
+++ b/src/relay/timers.rs
@@ -21,6 +21,8 @@
     Usage,
     /// Sending queued requests.
     Queue,
+    /// Passing on records to be written.
+    Ledger,
     /// Steps of a graceful stop.
     Stop,
 }
