Ledger: threads that write and read records of the instances on the platform

What an instance knows of the version that began a stream is lost when all instances are killed, as it is in memory only.

Change: a topic of the instances on the platform, a board between the driver and two threads (one writes batches, one reads on request), intervals that grow with the fleet, settings for the calls that the store accepts, metrics. Source::announce becomes Source::put for several keys; Source::read_page tells where the topic ends, so that a read is complete after one call. The driver doesn't use it yet.

Not yet tested.

--- a/src/fleet/replica.rs
+++ b/src/fleet/replica.rs
@@ -46,6 +46,8 @@
         Endpoints,
         /// Instances of the fleet.
         Instances,
+        /// What began the streams that callers may resume, written by the instances.
+        Streams,
     }
 }
 
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -27,7 +27,7 @@
 /// registration of this instance, in milliseconds.
 const ERA_INTERVAL: u64 = 1_000;
 /// First and maximum pause after a failed call, in milliseconds.
-const BACKOFF: (u64, u64) = (100, 800);
+pub(super) const BACKOFF: (u64, u64) = (100, 800);
 /// Upper limit of the maximum pause in a large fleet, in milliseconds. The pause may be longer
 /// there because one instance that is connected to the platform again informs all others.
 const MAX_BACKOFF: u64 = 4_000;
@@ -67,14 +67,30 @@
     Malformed(String),
 }
 
-/// What an instance needs of the platform: access to three topics, and decoding of their records.
+impl SourceError {
+    /// Name in metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Expired => "expired",
+            Self::Refused(_) => "refused",
+            Self::Unanswered(_) => "unanswered",
+            Self::Malformed(_) => "malformed",
+        }
+    }
+}
+
+/// What an instance needs of the platform: access to its topics, and decoding of their records.
 pub trait Source: Send + Sync {
     /// The newest record of every key.
     fn newest(&self, topic: Topic) -> Result<Batch, SourceError>;
     /// Records from the position `from` on. Waits up to `wait` milliseconds for the first one.
     fn read(&self, topic: Topic, from: u64, wait: u64) -> Result<Batch, SourceError>;
-    /// Registers this instance under a key; with `None`, removes the registration.
-    fn announce(&self, key: &str, value: Option<&[u8]>) -> Result<(), SourceError>;
+    /// Records from the position `from` on that exist now, and the position at which the topic ends: if
+    /// that is after the end of the batch, more can be read.
+    fn read_page(&self, topic: Topic, from: u64) -> Result<(Batch, u64), SourceError>;
+    /// Writes the newest values of keys of a topic of the instances, all or none; `None` removes a key.
+    /// Returns the era of the platform in which they were written.
+    fn put(&self, topic: Topic, entries: &[(&str, Option<&[u8]>)]) -> Result<u64, SourceError>;
     /// Decodes a record of the configuration topic; `None` if it holds no configuration. The error
     /// lists the findings.
     fn table(&self, key: &str, value: &[u8]) -> Option<Result<RoutingTable, String>>;
@@ -194,7 +210,7 @@
             }
             _ => false,
         },
-        Topic::Instances => false,
+        Topic::Instances | Topic::Streams => false,
     });
     batch
 }
@@ -209,7 +225,7 @@
     match topic {
         Topic::Config => publish_table(source, shared, &entries),
         Topic::Endpoints => publish_listings(source, shared, change, &entries),
-        Topic::Instances => {}
+        Topic::Instances | Topic::Streams => {}
     }
 }
 
@@ -369,8 +385,9 @@
     let mut era = shared.era();
     loop {
         if !announced {
-            match source.announce(&me.0, Some(me.1.to_string().as_bytes())) {
-                Ok(()) => announced = true,
+            let addr = me.1.to_string();
+            match source.put(Topic::Instances, &[(&me.0, Some(addr.as_bytes()))]) {
+                Ok(_) => announced = true,
                 Err(e) => tracing::warn!("follow: registration failed, retrying: {e}"),
             }
         }
--- /dev/null
+++ b/src/relay/ledger/reader.rs
@@ -0,0 +1,181 @@
+//! Turns of the thread that reads: a full read at the start, and later one read for all requests that
+//! were made before it began.
+
+use std::sync::Arc;
+
+use super::log::CallLog;
+use super::{Backoff, Budget, Next};
+use crate::adapter::clock::{Clock, Millis};
+use crate::fleet::position;
+use crate::fleet::replica::{Batch, Record, Topic};
+use crate::relay::follow::{Source, SourceError};
+use crate::relay::state::Shared;
+use crate::relay::stats::Metrics;
+
+/// Number of full reads in a row after which a read has failed because records expired.
+const MAX_FULL_READS: u32 = 2;
+
+/// Reads the records that instances wrote.
+pub struct Reader {
+    source: Arc<dyn Source>,
+    shared: Arc<Shared>,
+    clock: Clock,
+    budget: Budget,
+    log: CallLog,
+    backoff: Backoff,
+    /// Position of the next record to read; `None` if a full read is needed.
+    position: Option<u64>,
+    /// The first full read has succeeded.
+    has_read: bool,
+    /// Earliest time of the next read.
+    next_at: Millis,
+}
+
+/// Records of one read.
+#[derive(Debug, Default)]
+struct Found {
+    records: Vec<(String, Vec<u8>)>,
+    /// They include the newest record of every key.
+    full: bool,
+}
+
+impl Reader {
+    /// A reader for the driver that `shared` informs.
+    pub fn new(
+        source: Arc<dyn Source>,
+        shared: Arc<Shared>,
+        clock: Clock,
+        metrics: Arc<Metrics>,
+        budget: Budget,
+    ) -> Self {
+        let log = CallLog::new("read", clock.clone(), metrics);
+        Self {
+            source,
+            shared,
+            clock,
+            budget,
+            log,
+            backoff: Backoff::default(),
+            position: None,
+            has_read: false,
+            next_at: 0,
+        }
+    }
+
+    /// Reads if a read is due, and passes on the records and the outcome.
+    pub fn turn(&mut self) -> Next {
+        let now = self.clock.now();
+        if now < self.next_at {
+            return Next::Pause(self.next_at - now);
+        }
+        if self.has_read && !self.shared.ledger().is_read_requested() {
+            return Next::Wait;
+        }
+        let number = self.shared.ledger().begin_read();
+        let instances = self.shared.instances().len();
+        self.next_at = now + self.budget.read_interval(instances);
+        let mut found = Found::default();
+        let succeeded = self.read(&mut found);
+        if succeeded {
+            self.backoff = Backoff::default();
+        } else if !self.has_read {
+            let retry_at = self.clock.now() + self.backoff.next(instances);
+            self.next_at = self.next_at.max(retry_at);
+        }
+        self.has_read |= succeeded;
+        self.publish(number, succeeded, found);
+        Next::Pause(self.next_at.saturating_sub(self.clock.now()))
+    }
+
+    /// Reads all that was written before the call. Returns true if that succeeded.
+    fn read(&mut self, found: &mut Found) -> bool {
+        let mut result = match self.position {
+            Some(from) => self.read_on(from, found),
+            None => Err(SourceError::Expired),
+        };
+        for _ in 0..MAX_FULL_READS {
+            if !matches!(result, Err(SourceError::Expired)) {
+                break;
+            }
+            self.position = None;
+            result = self.read_all(found);
+        }
+        result.is_ok()
+    }
+
+    /// Reads the records from a position to the end of the topic.
+    fn read_on(&mut self, from: u64, found: &mut Found) -> Result<(), SourceError> {
+        let mut from = from;
+        let mut end = None;
+        while end.is_none_or(|end| from < end) {
+            let page = self.source.read_page(Topic::Streams, from);
+            let (batch, last) = self.count("read", page, |(batch, _)| batch)?;
+            let is_stuck = batch.end == from && last > from;
+            // Later pages only have to reach the end as of the first.
+            end.get_or_insert(last);
+            from = batch.end;
+            self.position = Some(from);
+            found.records.extend(batch.records.into_iter().filter_map(pair));
+            if is_stuck {
+                return Err(SourceError::Malformed("a page without records".to_owned()));
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads the newest record of every key.
+    fn read_all(&mut self, found: &mut Found) -> Result<(), SourceError> {
+        let batch = self.source.newest(Topic::Streams);
+        let mut batch = self.count("newest", batch, |batch| batch)?;
+        batch.records.sort_by_key(|r| r.offset);
+        if self.has_read {
+            let (era, keys) = (position::era(batch.end), batch.records.len());
+            tracing::info!(era, keys, "ledger: records expired, all were read");
+        }
+        *found =
+            Found { records: batch.records.into_iter().filter_map(pair).collect(), full: true };
+        self.position = Some(batch.end);
+        Ok(())
+    }
+
+    /// Counts a call with the records that it returned.
+    fn count<T>(
+        &mut self,
+        call: &'static str,
+        result: Result<T, SourceError>,
+        batch: impl Fn(&T) -> &Batch,
+    ) -> Result<T, SourceError> {
+        match &result {
+            Ok(answer) => {
+                let records = &batch(answer).records;
+                let size = |r: &Record| r.key.len() + r.value.as_ref().map_or(0, Vec::len);
+                self.log.succeeded(call, records.len(), records.iter().map(size).sum());
+            }
+            Err(e) => self.log.failed(call, e),
+        }
+        result
+    }
+
+    /// Passes records and the outcome of a read to the driver.
+    fn publish(&self, number: u64, succeeded: bool, found: Found) {
+        let era = self.position.filter(|_| succeeded).map(position::era);
+        self.shared.notify(|updates| {
+            if found.full {
+                updates.records = found.records;
+            } else {
+                updates.records.extend(found.records);
+            }
+            updates.read = Some((number, succeeded));
+            updates.ledger_era = era.or(updates.ledger_era);
+        });
+        if let Some(era) = era {
+            self.shared.ledger().set_era(era);
+            self.shared.ledger().open();
+        }
+    }
+}
+
+/// Key and value of a record; `None` for a removal.
+fn pair(record: Record) -> Option<(String, Vec<u8>)> {
+    Some((record.key, record.value?))
+}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -13,6 +13,7 @@
 pub mod follow;
 pub mod gossip;
 pub mod groups;
+pub mod ledger;
 pub mod link;
 pub mod names;
 mod output;
--- a/src/relay/state.rs
+++ b/src/relay/state.rs
@@ -10,6 +10,7 @@
 use crate::fleet::replica::{Batch, Replica, Topic};
 use crate::policy::place::Listing;
 use crate::relay::duty::Board;
+use crate::relay::ledger;
 use crate::relay::table::RoutingTable;
 
 /// How far a peer has read the platform's topics.
@@ -34,6 +35,17 @@
     pub instances: Option<Vec<(String, SocketAddr)>>,
     /// Instances that a seed knows of.
     pub known: Option<Vec<(String, SocketAddr)>>,
+    /// Records of the ledger that were read, key and value, oldest first: those of all keys at the first
+    /// read and after a full one, else those that are new.
+    pub records: Vec<(String, Vec<u8>)>,
+    /// Number of the last read of the ledger that has ended, and whether it succeeded. It covers the
+    /// requests of this number and of lower ones; 0 is the one at the start.
+    pub read: Option<(u64, bool)>,
+    /// Number of the last change of the ledger that the platform has acknowledged, along with all before
+    /// it.
+    pub written: Option<u64>,
+    /// Era of the platform at the last read of the ledger that succeeded.
+    pub ledger_era: Option<u64>,
     /// Time at which the process was asked to stop.
     pub stop: Option<Millis>,
     /// Change of the replica of the endpoints that the newest list accounts for.
@@ -67,6 +79,7 @@
     /// By topic, as above: peers stay ahead because nothing can be copied from them.
     stuck: [AtomicBool; 2],
     duties: Arc<Board>,
+    ledger: Arc<ledger::Board>,
     clock: Clock,
     waker: mio::Waker,
 }
@@ -85,6 +98,7 @@
             disconnected: Default::default(),
             stuck: Default::default(),
             duties: Arc::default(),
+            ledger: Arc::default(),
             clock,
             waker,
         }
@@ -95,6 +109,11 @@
         &self.duties
     }
 
+    /// State shared with the threads of the ledger.
+    pub fn ledger(&self) -> &Arc<ledger::Board> {
+        &self.ledger
+    }
+
     /// Changes the pending updates and wakes the driver.
     pub fn notify(&self, change: impl FnOnce(&mut Updates)) {
         change(&mut lock(&self.updates));
@@ -117,11 +136,12 @@
         std::mem::replace(&mut *updates, next)
     }
 
-    /// The replica of a topic. The instances have none: that of the endpoints is returned for them.
+    /// The replica of a topic. Instances and streams have none: that of the endpoints is returned for
+    /// them.
     pub fn replica(&self, topic: Topic) -> MutexGuard<'_, Replica> {
         match topic {
             Topic::Config => lock(&self.config),
-            Topic::Endpoints | Topic::Instances => lock(&self.endpoints),
+            Topic::Endpoints | Topic::Instances | Topic::Streams => lock(&self.endpoints),
         }
     }
 
--- a/src/relay/stats.rs
+++ b/src/relay/stats.rs
@@ -71,6 +71,22 @@
     pub reply: &'static str,
 }
 
+/// Labels of a call of the ledger.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LedgerCallLabels {
+    /// `write`, `read` or `newest`.
+    pub call: &'static str,
+    /// How the platform answered.
+    pub outcome: &'static str,
+}
+
+/// Label of what calls of the ledger carried.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LedgerLabels {
+    /// `write`, `read` or `newest`.
+    pub call: &'static str,
+}
+
 /// Labels of orders for endpoints.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct OrderLabels {
@@ -156,6 +172,12 @@
     pub duty_holder: Gauge,
     /// Number of calls to the platform's API for duties.
     pub duty_calls: Family<DutyLabels, Counter>,
+    /// Number of calls of the ledger.
+    pub ledger_calls: Family<LedgerCallLabels, Counter>,
+    /// Records that calls of the ledger carried.
+    pub ledger_entries: Family<LedgerLabels, Counter>,
+    /// Bytes of the keys and values of those records.
+    pub ledger_bytes: Family<LedgerLabels, Counter>,
     /// Number of endpoints last ordered by this instance.
     pub ordered: Family<OrderLabels, Gauge>,
     /// Number of orders by outcome.
@@ -201,6 +223,9 @@
             read_bytes: Family::default(),
             duty_holder: Gauge::default(),
             duty_calls: Family::default(),
+            ledger_calls: Family::default(),
+            ledger_entries: Family::default(),
+            ledger_bytes: Family::default(),
             ordered: Family::default(),
             orders: Family::default(),
         };
@@ -275,6 +300,10 @@
         r.register("read_bytes", "bytes read by kind of connection", self.read_bytes.clone());
         r.register("duty_holder", "1 on the holder of the duties", self.duty_holder.clone());
         r.register("duty_calls", "calls for duties by reply", self.duty_calls.clone());
+        r.register("ledger_calls", "calls of the ledger by outcome", self.ledger_calls.clone());
+        r.register("ledger_records", "records in calls of the ledger", self.ledger_entries.clone());
+        let help = "bytes of the records in calls of the ledger";
+        r.register("ledger_record_bytes", help, self.ledger_bytes.clone());
     }
 
     /// Renders the metrics in the Prometheus text format.
