--- a/src/policy/origin/base.rs
+++ b/src/policy/origin/base.rs
@@ -1,9 +1,14 @@
 //! The base version of one service: the last one that alone has served for longer than a stream can
 //! last.
+//!
+//! It is on record as open, when streams may begin at it without a record, or as closed, when it has not
+//! been listed since: then all streams are recorded, and those that are on no record still began at it. A
+//! new base is opened only after a lifetime in which the one before was closed, so no instance can take
+//! the one before for open any more.
 
 use indexmap::IndexSet;
 
-use super::Software;
+use super::{Marker, Software};
 use crate::adapter::clock::Millis;
 
 /// Time for which one version alone has to be listed when the fleet starts for the first time, in
@@ -13,18 +18,33 @@
 /// What an instance knows of the base.
 #[derive(Debug, Default)]
 pub(super) struct Base {
-    /// The base that is on record.
+    /// The base on record.
     software: Option<Software>,
-    /// A new base, and the change with which it is on record.
-    proposed: Option<(Software, u64)>,
-    /// The base is not listed: another instance may have recorded a new one.
-    stale: bool,
-    /// The base is listed again, and the record has to be read.
-    unread: bool,
+    is_open: bool,
+    /// The base was open in a read that began when it was listed, and has been listed since.
+    verified: bool,
+    is_listed: bool,
+    /// Number of the read that was asked for, if it has not ended.
+    read: Option<u64>,
+    /// A marker that is to be written, and the change with which it is.
+    proposed: Option<(Proposal, u64)>,
+    /// Time since which there has been no open base.
+    closed_since: Option<Millis>,
     /// The only listed version, and the time since which this instance has seen no other.
     alone: Option<(Software, Millis)>,
     /// Time since which the list has been up to date at all instances.
     informed_since: Option<Millis>,
+    /// There has been a base, or more than one version.
+    was_set: bool,
+}
+
+/// A change of the base.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Proposal {
+    /// The base is not listed any more.
+    Close(Software),
+    /// A version has served alone for long enough.
+    Open(Software),
 }
 
 impl Base {
@@ -33,62 +53,115 @@
         let only = listed.first().copied().filter(|_| listed.len() == 1);
         let before = self.alone.filter(|(v, _)| Some(*v) == only);
         self.alone = only.map(|v| before.unwrap_or((v, now)));
+        self.was_set |= listed.len() > 1;
         self.informed_since = informed.then(|| self.informed_since.unwrap_or(now));
-        let is_listed = self.software.is_some_and(|v| listed.contains(&v));
-        self.unread |= self.stale && is_listed;
-        self.stale |= self.software.is_some() && !is_listed;
+        self.is_listed = self.software.is_some_and(|v| listed.contains(&v));
+        if !self.is_listed {
+            (self.verified, self.read) = (false, None);
+        }
+        if !self.is_open {
+            self.closed_since.get_or_insert(now);
+        }
+        let alone = self.alone;
+        self.proposed.take_if(|(p, _)| match p {
+            Proposal::Close(_) => false,
+            Proposal::Open(v) => alone.is_none_or(|(only, _)| only != *v),
+        });
     }
 
-    /// The version that has served alone for long enough to be a new base.
-    pub(super) fn successor(&self, now: Millis, lifetime: u64, first: bool) -> Option<Software> {
+    /// The change that is due, as far as this instance knows.
+    pub(super) fn due(&self, now: Millis, lifetime: u64, first_start: bool) -> Option<Proposal> {
+        if self.proposed.is_some() || lifetime == 0 {
+            return None;
+        }
+        if let Some(base) = self.software.filter(|_| self.is_open) {
+            return (!self.is_listed).then_some(Proposal::Close(base));
+        }
+        let first = first_start && !self.was_set;
         let required = if first { FIRST_START.min(lifetime) } else { lifetime };
         let (v, since) = self.alone?;
-        let since = since.max(self.informed_since?);
-        let is_known = self.trusted() == Some(v) || self.proposed.is_some_and(|(p, _)| p == v);
-        (!is_known && lifetime > 0 && now >= since + required).then_some(v)
+        let since = since.max(self.informed_since?).max(self.closed_since?);
+        (now >= since + required).then_some(Proposal::Open(v))
+    }
+
+    /// True if the record has to be read: before a change, or before streams begin at the base.
+    pub(super) fn needs_read(&self, now: Millis, lifetime: u64, first_start: bool) -> bool {
+        let unverified = self.is_open && self.is_listed && !self.verified;
+        self.read.is_none() && (unverified || self.due(now, lifetime, first_start).is_some())
     }
 
-    /// Proposes a new base, which counts once a change has been written.
-    pub(super) fn propose(&mut self, software: Software, change: u64) {
-        self.proposed = Some((software, change));
+    /// Records that a read was asked for.
+    pub(super) fn set_reading(&mut self, number: u64) {
+        self.read = Some(number);
     }
 
-    /// Takes the proposed base if its change has been written.
-    pub(super) fn confirm(&mut self, written: u64) {
-        if let Some((v, _)) = self.proposed.take_if(|(_, change)| *change <= written) {
-            self.software = Some(v);
-            (self.stale, self.unread) = (false, false);
+    /// The read with a number has ended, and its records were learned.
+    pub(super) fn finish_read(&mut self, number: u64, ok: bool) -> bool {
+        if self.read.take_if(|n| *n <= number).is_none() || !ok {
+            return false;
         }
+        self.verified = self.is_open && self.is_listed;
+        true
     }
 
-    /// Takes the base that is on record; `None` if there is none that counts.
-    pub(super) fn learn(&mut self, software: Option<Software>) {
-        self.software = software;
+    /// Proposes a change, which counts once it has been written.
+    pub(super) fn propose(&mut self, proposal: Proposal, change: u64) {
+        self.proposed = Some((proposal, change));
     }
 
-    /// The record has been read.
-    pub(super) fn set_read(&mut self) {
-        (self.stale, self.unread) = (false, false);
+    /// Takes the proposed change if it has been written.
+    pub(super) fn confirm(&mut self, now: Millis, written: u64) {
+        let Some((proposal, _)) = self.proposed.take_if(|(_, change)| *change <= written) else {
+            return;
+        };
+        match proposal {
+            Proposal::Close(v) => self.set(now, Some(v), false),
+            Proposal::Open(v) => self.set(now, Some(v), true),
+        }
     }
 
-    /// True if the record has to be read before the base counts again.
-    pub(super) fn needs_read(&self) -> bool {
-        self.unread
+    fn set(&mut self, now: Millis, software: Option<Software>, is_open: bool) {
+        if (software, is_open) == (self.software, self.is_open) {
+            return;
+        }
+        (self.software, self.is_open) = (software, is_open);
+        (self.verified, self.read) = (false, None);
+        self.was_set |= software.is_some();
+        self.is_listed = software.is_some() && self.alone.map(|(v, _)| v) == software;
+        self.closed_since = (!is_open).then_some(now);
     }
 
-    /// The base, unless another instance may have recorded a new one.
+    /// Takes the marker that is on record; `None` if there is none that counts.
+    pub(super) fn learn(&mut self, now: Millis, marker: Option<&Marker>) {
+        match marker {
+            Some(m) => self.set(now, m.base, m.open),
+            None => self.set(now, None, false),
+        }
+    }
+
+    /// The base at which streams may begin without a record.
     pub(super) fn trusted(&self) -> Option<Software> {
-        self.software.filter(|_| !self.stale)
+        self.software.filter(|_| self.is_open && self.verified)
+    }
+
+    /// The version that began the streams that are on no record.
+    pub(super) fn software(&self) -> Option<Software> {
+        self.software
     }
 
-    /// What is to be on record.
-    pub(super) fn to_record(&self) -> Option<Software> {
-        self.proposed.map(|(v, _)| v).or(self.software)
+    /// True if the base is listed.
+    pub(super) fn is_listed(&self) -> bool {
+        self.is_listed
     }
 
-    /// True if there is a base on record.
-    pub(super) fn is_recorded(&self) -> bool {
-        self.software.is_some()
+    /// The marker that is to be on record in an era.
+    pub(super) fn marker(&self, era: u64) -> Marker {
+        let (base, open) = match self.proposed {
+            Some((Proposal::Close(v), _)) => (Some(v), false),
+            Some((Proposal::Open(v), _)) => (Some(v), true),
+            None => (self.software, self.is_open),
+        };
+        Marker { base, open, era }
     }
 
     /// True if only one version is listed.
--- a/src/policy/origin/mod.rs
+++ b/src/policy/origin/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! Each service has a base version: the last one that alone has served for longer than a stream can
 //! last. It is on record in the platform, as are the streams that begin at other versions, each before
-//! its request is sent. So a stream that is on no record began at the base. While the base is unknown,
-//! all streams are recorded, and those that are on no record are not resumed.
+//! its request is sent. So a stream that is on no record began at the base. While there is no base that
+//! this instance can rely on, all streams are recorded.
 
 mod base;
 mod record;
@@ -37,6 +37,11 @@
 pub struct Software(u64);
 
 impl Software {
+    /// No version of any service.
+    pub fn none() -> Self {
+        Self(0)
+    }
+
     /// The version `version` of a service.
     pub fn of(service: &str, version: &str) -> Self {
         Self(xxh3_64(format!("{service}\0{version}").as_bytes()))
@@ -81,8 +86,10 @@
     Any,
     /// At the base only, which needs no record.
     Base(Software),
-    /// At any version, without a record: the base has no endpoint.
+    /// At any version, without a record: the base isn't listed.
     Unrecorded,
+    /// Not at this instance.
+    Refuse,
 }
 
 /// A stream that a caller may resume.
@@ -112,6 +119,10 @@
     me: String,
     /// The fleet starts for the first time: no stream is older than this process.
     first_start: bool,
+    /// The endpoint list of this instance may be relied on.
+    list_current: bool,
+    /// Records that could not be decoded, by key and hash of the value.
+    malformed: IndexSet<(String, u64)>,
     /// Era of the platform whose records were read; `None` before that.
     era: Option<u64>,
     /// Time from which records that a restored platform has lost don't matter any more.
@@ -143,8 +154,8 @@
         Self { me: me.to_owned(), first_start, ..Self::default() }
     }
 
-    /// Takes a time for which a stream may last: the timeout of a route, or the time that a caller
-    /// waits; in milliseconds. Only longer ones count, as earlier streams may still run.
+    /// Takes a time for which a stream may last, the timeout of a route, in milliseconds. Only longer ones
+    /// count, as earlier streams may still run. Streams whose callers wait longer are always recorded.
     pub fn extend_lifetime(&mut self, timeout: u64) {
         let lifetime = timeout.min(MAX_LIFETIME) + LIFETIME_MARGIN;
         self.lifetime = self.lifetime.max(lifetime);
@@ -162,30 +173,61 @@
         if listed.is_empty() {
             return;
         }
-        let (lifetime, first_start) = (self.lifetime, self.first_start);
         let base = self.bases.entry(service.to_owned()).or_default();
         base.observe(now, listed, informed);
-        let first = first_start && !base.is_recorded();
-        let Some(successor) = base.successor(now, lifetime, first) else { return };
-        if self.era.is_none() {
-            return;
-        }
-        tracing::info!(service, ?successor, "origin: a service has a new base version");
-        let change = self.touch(Key::Service(service.to_owned()));
-        if let Some(base) = self.bases.get_mut(service) {
-            base.propose(successor, change);
+    }
+
+    /// Sets whether the endpoint list of this instance may be relied on: if not, another instance may
+    /// have seen the base leave.
+    pub fn set_list_current(&mut self, current: bool) {
+        self.list_current = current;
+    }
+
+    /// True if the records have to be read before streams begin at the base, or before it changes.
+    pub fn needs_read(&self, now: Millis) -> bool {
+        let needs = |b: &Base| b.needs_read(now, self.lifetime, self.first_start);
+        now >= self.whole_from && self.bases.values().any(needs)
+    }
+
+    /// Records that a read was asked for, and has this number.
+    pub fn set_reading(&mut self, now: Millis, number: u64) {
+        let (lifetime, first_start) = (self.lifetime, self.first_start);
+        for base in self.bases.values_mut() {
+            if base.needs_read(now, lifetime, first_start) {
+                base.set_reading(number);
+            }
         }
     }
 
-    /// True if the record of a service has to be read before its base is known again.
-    pub fn needs_read(&self) -> bool {
-        self.bases.values().any(Base::needs_read)
+    /// Records that the read with a number has ended and its records were learned; changes bases that
+    /// are due.
+    pub fn finish_read(&mut self, now: Millis, number: u64, ok: bool) {
+        let (lifetime, first_start) = (self.lifetime, self.first_start);
+        let whole = now >= self.whole_from && self.era.is_some();
+        let mut due = Vec::new();
+        for (service, base) in &mut self.bases {
+            if base.finish_read(number, ok) && whole {
+                due.extend(base.due(now, lifetime, first_start).map(|p| (service.clone(), p)));
+            }
+        }
+        for (service, proposal) in due {
+            tracing::info!(service, ?proposal, "origin: base version of a service changes");
+            let change = self.touch(Key::Service(service.clone()));
+            if let Some(base) = self.bases.get_mut(&service) {
+                base.propose(proposal, change);
+            }
+        }
     }
 
     /// The version of a service at which streams begin without a record.
     pub fn base(&self, now: Millis, service: &str) -> Option<Software> {
         let base = self.bases.get(service)?;
-        base.trusted().filter(|_| now >= self.whole_from)
+        base.trusted().filter(|_| now >= self.whole_from && self.list_current)
+    }
+
+    /// The version of a service that began the streams that are on no record.
+    fn unrecorded(&self, now: Millis, service: &str) -> Option<Software> {
+        self.bases.get(service)?.software().filter(|_| now >= self.whole_from)
     }
 
     /// How streams of a service may begin now. `serves` tells whether a version has endpoints.
@@ -198,9 +240,11 @@
         if !self.is_write_late(now) && self.era.is_some() {
             return Begin::Any;
         }
-        match self.base(now, service).filter(|v| serves(*v)) {
-            Some(base) => Begin::Base(base),
-            None => Begin::Unrecorded,
+        let is_listed = self.bases.get(service).is_some_and(Base::is_listed);
+        match self.base(now, service) {
+            Some(base) if serves(base) => Begin::Base(base),
+            _ if is_listed => Begin::Refuse,
+            _ => Begin::Unrecorded,
         }
     }
 
@@ -215,7 +259,8 @@
         until: Millis,
     ) -> Readiness {
         let attempt = Attempt::of(attempt);
-        let recorded = self.base(now, service) != Some(software);
+        let is_long = until > now + self.lifetime;
+        let recorded = is_long || self.base(now, service) != Some(software);
         let known = self.own.get(&attempt);
         let same =
             known.is_some_and(|o| o.stream.software == Some(software) && o.recorded == recorded);
@@ -242,17 +287,9 @@
         if !self.is_write_late(now) {
             return Readiness::Wait;
         }
-        match self.base(now, service) {
-            // Without a base, a stream that is on no record isn't resumed anyway.
-            None => Readiness::Ready,
-            Some(_) if recorded => Readiness::Ready,
-            Some(_) => Readiness::Stuck,
-        }
-    }
-
-    /// Forgets an attempt whose stream is complete.
-    pub fn end(&mut self, attempt: &str) {
-        self.own.shift_remove(&Attempt::of(attempt));
+        // The base isn't listed, so a stream that is taken for one of the base finds no endpoint.
+        let is_listed = self.bases.get(service).is_some_and(Base::is_listed);
+        if recorded && !is_listed { Readiness::Ready } else { Readiness::Stuck }
     }
 
     /// Marks the stream of an attempt as begun at a version that nobody knows: its endpoint has turned out
@@ -265,20 +302,26 @@
         }
     }
 
-    /// The version that began the stream of an attempt on a route to a service, if that is known here.
-    pub fn known(&self, now: Millis, attempt: &str) -> Option<Verdict> {
+    /// The version that began the stream of an attempt, if this instance began it.
+    pub fn own(&self, now: Millis, attempt: &str) -> Option<Verdict> {
+        let own = self.own.get(&Attempt::of(attempt)).map(|o| o.stream);
+        let stream = own.filter(|s| s.until > now)?;
+        Some(stream.software.map_or(Verdict::Unknown, Verdict::Began))
+    }
+
+    /// The version that began the stream of an attempt, according to the records.
+    fn on_record(&self, now: Millis, attempt: &str) -> Option<Verdict> {
         let attempt = Attempt::of(attempt);
-        let own = self.own.get(&attempt).map(|o| o.stream);
-        let learned = self.learned.values().filter_map(|all| all.get(&attempt).copied());
-        let mut known = own.into_iter().chain(learned).filter(|s| s.until > now);
+        let learned = self.learned.values().filter_map(|all| all.get(&attempt));
+        let mut known = learned.filter(|s| s.until > now);
         let first = known.next()?.software;
         let agreed = first.filter(|_| known.all(|s| s.software == first));
         Some(agreed.map_or(Verdict::Unknown, Verdict::Began))
     }
 
     /// The version that began the stream of an attempt on a route to a service, after the records were
-    /// read, which is true for `read`, or could not be read. `current` is true if no instance knows a newer
-    /// endpoint list.
+    /// read, which is true for `read`, or could not be read. `current` is true if all instances have the
+    /// same endpoint list.
     pub fn verdict(
         &self,
         now: Millis,
@@ -287,10 +330,13 @@
         read: bool,
         current: bool,
     ) -> Verdict {
-        if let Some(known) = attempt.and_then(|a| self.known(now, a)) {
+        if let Some(own) = attempt.and_then(|a| self.own(now, a)) {
+            return own;
+        }
+        if let Some(known) = attempt.filter(|_| read).and_then(|a| self.on_record(now, a)) {
             return known;
         }
-        let base = self.base(now, service).filter(|_| read && attempt.is_some());
+        let base = self.unrecorded(now, service).filter(|_| read && attempt.is_some());
         let alone = self.bases.get(service).filter(|_| current);
         let alone = alone.and_then(|b| b.alone(now, self.lifetime));
         base.or(alone).map_or(Verdict::Unknown, Verdict::Began)
@@ -299,21 +345,18 @@
     /// Takes a record that was read. Returns false if it can't be decoded.
     pub fn learn(&mut self, now: Millis, key: &str, value: &[u8]) -> bool {
         match Key::parse(key, &self.me) {
-            Some(Key::Service(name)) => self.learn_marker(&name, value),
+            Some(Key::Service(name)) => self.learn_marker(now, &name, value),
             Some(Key::Instance) => self.learn_own(now, value),
             Some(Key::Other) => self.learn_others(now, key, value),
             None => false,
         }
     }
 
-    fn learn_marker(&mut self, service: &str, value: &[u8]) -> bool {
-        if value.is_empty() {
-            return true;
-        }
-        let Ok(marker) = codec::unpack::<Marker>(value) else { return false };
-        let software = marker.base.filter(|_| Some(marker.era) == self.era);
-        self.bases.entry(service.to_owned()).or_default().learn(software);
-        true
+    fn learn_marker(&mut self, now: Millis, service: &str, value: &[u8]) -> bool {
+        let marker = codec::unpack::<Marker>(value).ok();
+        let counts = marker.as_ref().filter(|m| Some(m.era) == self.era);
+        self.bases.entry(service.to_owned()).or_default().learn(now, counts);
+        marker.is_some() || value.is_empty()
     }
 
     /// Takes the streams that this instance had on record before its last start.
@@ -340,7 +383,9 @@
             })
             .collect();
         if record.is_none() || streams.len() > MAX_LEARNED {
-            self.whole_from = now + self.lifetime;
+            if self.malformed.insert((key.to_owned(), xxh3_64(value))) {
+                self.whole_from = now + self.lifetime;
+            }
             return false;
         }
         self.learned.insert(key.to_owned(), streams);
@@ -348,23 +393,17 @@
     }
 
     /// Takes the era of the platform whose records are being read, before they are learned. In a later
-    /// era, records that were written lately may be lost: what is known here is written again.
+    /// era, records that were written lately may be lost: streams are written again, and bases forgotten.
     pub fn set_era(&mut self, now: Millis, era: u64) {
         if self.era.is_some_and(|before| before != era) {
             tracing::info!(era, "origin: records may be lost, the platform was restored");
             self.whole_from = now + self.lifetime;
-            let services: Vec<String> = self.bases.keys().cloned().collect();
-            services.into_iter().for_each(|name| _ = self.touch(Key::Service(name)));
+            self.bases.values_mut().for_each(|b| b.learn(now, None));
             self.touch(Key::Instance);
         }
         self.era = Some(era);
     }
 
-    /// Records that all records made before have been read.
-    pub fn set_read(&mut self) {
-        self.bases.values_mut().for_each(Base::set_read);
-    }
-
     fn touch(&mut self, key: Key) -> u64 {
         self.unwritten.insert(key);
         self.changes.made += 1;
@@ -376,24 +415,21 @@
         self.era.is_some() && !self.unwritten.is_empty()
     }
 
-    /// Keys and values to write now; none before records were read. Bases are held back while a restored
-    /// platform may have lost records.
+    /// Keys and values to write now; none before records were read.
     pub fn take_writes(&mut self, now: Millis) -> Vec<(String, Vec<u8>)> {
         if self.era.is_none() || self.unwritten.is_empty() {
             return Vec::new();
         }
-        let whole = now >= self.whole_from;
-        let keys: Vec<Key> =
-            self.unwritten.extract_if(.., |k| whole || *k == Key::Instance).collect();
+        let keys = std::mem::take(&mut self.unwritten);
         keys.iter().map(|key| (key.name(&self.me), self.value(now, key))).collect()
     }
 
     fn value(&self, now: Millis, key: &Key) -> Vec<u8> {
         match key {
             Key::Service(name) => {
-                let base = self.bases.get(name).and_then(Base::to_record);
                 let era = self.era.unwrap_or_default();
-                codec::pack_positional(&Marker { base, era })
+                let marker = self.bases.get(name).map(|b| b.marker(era));
+                marker.map(|m| codec::pack_positional(&m)).unwrap_or_default()
             }
             Key::Instance | Key::Other => codec::pack_positional(&self.streams_record(now)),
         }
@@ -415,10 +451,10 @@
     }
 
     /// Records that the writer's changes up to a number have been written.
-    pub fn set_written(&mut self, number: u64) {
+    pub fn set_written(&mut self, now: Millis, number: u64) {
         self.take_written(number);
         let written = self.changes.written;
-        self.bases.values_mut().for_each(|b| b.confirm(written));
+        self.bases.values_mut().for_each(|b| b.confirm(now, written));
     }
 
     fn take_written(&mut self, number: u64) {
--- a/src/policy/origin/record.rs
+++ b/src/policy/origin/record.rs
@@ -48,6 +48,8 @@
     pub struct Marker {
         /// That version; `None` if there is none.
         pub base: Option<Software>,
+        /// Streams may begin at it without a record.
+        pub open: bool,
         /// Era of the platform in which it was written: one that was restored from a copy may hold an
         /// older one.
         pub era: u64,
--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -11,7 +11,7 @@
 mod endpoint;
 mod speed;
 
-pub use backlog::{Misses, Queued, send_order};
+pub use backlog::{Group, Misses, Queued, send_order};
 pub use capacity::{
     Capacity, Curve, Evidence, Learned, MAX_SHARED, Noise, Observed, Shared, pack_all,
 };
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -192,8 +192,6 @@
     shed_log: ShedLog,
     /// Software versions that began streams.
     origins: Origins,
-    /// Number of the read of the ledger that tells whether bases still hold, if there is one.
-    base_read: Option<u64>,
     /// Time at which records were last passed on to be written.
     flushed_at: Millis,
     /// Requests that began to run, for usage reports.
@@ -277,7 +275,6 @@
             compared_until: 0,
             shed_log: ShedLog::default(),
             origins,
-            base_read: None,
             flushed_at: 0,
             counter: Counter::default(),
             informed: Vec::new(),
--- a/src/relay/driver/origins.rs
+++ b/src/relay/driver/origins.rs
@@ -20,6 +20,10 @@
 /// Maximum age of an endpoint list that counts as up to date, in milliseconds.
 const MAX_LIST_AGE: u64 = 3_000;
 
+/// Maximum age of an endpoint list with which streams begin at a base without a record, in milliseconds:
+/// others count an instance that they don't hear for a little longer.
+const MAX_TRUSTED_AGE: u64 = 8_000;
+
 /// Whether a resumed stream may be sent now.
 pub(super) enum Resumption {
     /// It may, or it isn't one.
@@ -41,8 +45,8 @@
             _ => return Resumption::Free,
         }
         let attempt = exchange.resume.as_ref().and_then(|r| r.attempt.as_deref());
-        if let Some(verdict) = attempt.and_then(|a| self.origins.known(now, a)) {
-            return self.apply_verdict(index, verdict, "known");
+        if let Some(verdict) = attempt.and_then(|a| self.origins.own(now, a)) {
+            return self.apply_verdict(index, verdict, "own");
         }
         let read = self.shared.ledger().request_read();
         if let Some(exchange) = self.callers[index].exchange.as_mut() {
@@ -108,7 +112,7 @@
     pub(super) fn restrict_versions(&mut self, index: usize) {
         let now = self.clock.now();
         let Some(exchange) = self.callers[index].exchange.as_ref() else { return };
-        if !tracks_version(exchange) || exchange.lineage == Lineage::Fixed {
+        if !tracks_version(exchange) || !exchange.lineage.is_open() {
             return;
         }
         let service = exchange.service.clone();
@@ -120,6 +124,11 @@
                 exchange.lineage = Lineage::Free;
                 exchange.requirements.software = None;
             }
+            // No version is this one: it waits, and is refused after its maximum wait.
+            Begin::Refuse => {
+                exchange.lineage = Lineage::Free;
+                exchange.requirements.software = Some(Software::none());
+            }
             Begin::Base(base) => {
                 exchange.lineage = Lineage::Free;
                 exchange.requirements.software = Some(base);
@@ -160,7 +169,7 @@
     /// Frees a request that waits for its record to begin at another version.
     pub(super) fn free_version(&mut self, index: usize) {
         if let Some(exchange) = self.callers[index].exchange.as_mut()
-            && exchange.lineage != Lineage::Fixed
+            && exchange.lineage.is_open()
         {
             exchange.lineage = Lineage::Free;
             exchange.requirements.software = None;
@@ -177,23 +186,22 @@
         found.is_some_and(|e| e.key() != key && e.software() != Some(software))
     }
 
-    /// True if the first bytes of a resumed stream come from another version than began it.
+    /// True if the first event of a stream comes from another version than it was sent to.
     pub(super) fn mixes_versions(&self, index: usize) -> bool {
-        let exchange = self.callers[index].exchange.as_ref();
-        exchange.is_some_and(|e| e.lineage == Lineage::Fixed) && self.was_restarted(index)
+        let restarted = self.was_restarted(index);
+        if restarted {
+            let id = self.callers[index].exchange.as_ref().map(|e| e.id.as_str());
+            tracing::warn!(id, "relay: endpoint has restarted in another version");
+        }
+        restarted
     }
 
     /// Fixes the version of a stream at its first event.
     pub(super) fn fix_version(&mut self, index: usize) {
-        let restarted = self.was_restarted(index);
         let Some(exchange) = self.callers[index].exchange.as_mut() else { return };
         let Some((software, _)) = exchange.sent_to.take() else { return };
         exchange.lineage = Lineage::Fixed;
         exchange.requirements.software = Some(software);
-        if restarted {
-            tracing::warn!(id = exchange.id, "relay: endpoint has restarted in another version");
-            self.origins.doubt(&exchange.id);
-        }
     }
 
     /// Ends or doubts the streams at endpoints that have started again under their id in another version.
@@ -231,8 +239,11 @@
         for (name, pool) in &self.pools {
             self.origins.observe(now, name, &pool.balancer.listed_versions(), informed);
         }
-        if self.origins.needs_read() && self.base_read.is_none() {
-            self.base_read = Some(self.shared.ledger().request_read());
+        let current = self.list_age() < MAX_TRUSTED_AGE || self.is_current(now);
+        self.origins.set_list_current(current);
+        if self.origins.needs_read(now) {
+            let number = self.shared.ledger().request_read();
+            self.origins.set_reading(now, number);
         }
         self.origins.expire(now);
     }
@@ -245,12 +256,12 @@
             && self.peers.members(now).all(|p| !p.heartbeat.disconnected)
     }
 
-    /// True if no instance knows a newer endpoint list.
+    /// True if all instances have the same endpoint list.
     fn is_current(&self, now: Millis) -> bool {
         let end = self.shared.replica(Topic::Endpoints).end();
         self.peers.is_complete(now)
-            && self.peers.members(now).all(|p| p.heartbeat.ends.1 <= end)
-            && self.peers.remote(now).all(|p| p.heartbeat.ends.1 <= end)
+            && self.peers.members(now).all(|p| p.heartbeat.ends.1 == end)
+            && self.peers.remote(now).all(|p| p.heartbeat.ends.1 == end)
     }
 
     /// Takes the timeouts of a configuration: a stream may last for the longest.
@@ -272,14 +283,12 @@
             }
         }
         if let Some(number) = updates.written {
-            self.origins.set_written(number);
+            self.origins.set_written(now, number);
             self.load_changed = true;
         }
         if let Some((number, ok)) = updates.read {
-            if ok && self.base_read.is_none_or(|n| n <= number) {
-                self.origins.set_read();
-            }
-            self.base_read = self.base_read.filter(|n| *n > number);
+            self.origins.finish_read(now, number, ok);
+            self.observe_versions(now);
             self.finish_reads(now, number, ok);
         }
     }
@@ -317,8 +326,8 @@
         }
         let ledger = self.shared.ledger().clone();
         let writes = self.origins.take_writes(now).into_iter();
-        let numbers = writes.map(|(key, value)| ledger.put(&key, value));
-        if let Some(number) = numbers.last() {
+        let number = writes.map(|(key, value)| ledger.put(&key, value)).max();
+        if let Some(number) = number {
             self.flushed_at = now;
             self.origins.set_submitted(now, number);
         }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -51,6 +51,13 @@
     Fixed,
 }
 
+impl Lineage {
+    /// True if it may still begin at another version.
+    pub(super) fn is_open(self) -> bool {
+        matches!(self, Self::Free | Self::Recording)
+    }
+}
+
 /// The stream that a caller resumes.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(super) struct Resume {
--- a/tests/fair.rs
+++ b/tests/fair.rs
@@ -332,8 +332,8 @@
         let mut misses = Misses::default();
         for index in self.order(now, i).into_iter().map(|e| e.queued.index) {
             let gap = self.requests[index].class.gap;
-            if misses.allow(SERVICE, gap) && !self.send(now, i, index) {
-                misses.record(SERVICE, gap);
+            if misses.allow(&(SERVICE.to_owned(), gap, None)) && !self.send(now, i, index) {
+                misses.record((SERVICE.to_owned(), gap, None));
             }
         }
     }
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -176,12 +176,12 @@
         send_order(&mut queued);
         let mut misses = Misses::default();
         for index in queued.into_iter().map(|q| q.index) {
-            if !misses.allow("spine", 1_000) {
+            if !misses.allow(&("spine".to_owned(), 1_000, None)) {
                 break;
             }
             let request = &mut requests[index];
             let Choice::Chosen(id, _) = instance.balancer.choose(now, &request.needs) else {
-                misses.record("spine", 1_000);
+                misses.record(("spine".to_owned(), 1_000, None));
                 continue;
             };
             let placement = instance.balancer.start(now, &id, &request.needs);
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -67,6 +67,7 @@
         priority: 2,
         waited: LONG_WAIT,
         avoid: Vec::new(),
+        software: None,
     }
 }
 
