Directed tests of the origin policy: twenty orders of events that join versions or refuse needlessly

Three instances, a model of the store (late appends, reads under way, restore from a copy, refusing single instances) and skewed clocks play the driver's protocol on paused time; each resume is checked against the version that began the stream.

--- /dev/null
+++ b/tests/origin.rs
@@ -0,0 +1,718 @@
+//! Tests of the software version at which a stream goes on: instances with a model of the store on a
+//! paused clock, without a network.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use indexmap::{IndexMap, IndexSet};
+use sassafrasworks::adapter::clock::Millis;
+use sassafrasworks::adapter::codec;
+use sassafrasworks::policy::origin::{
+    Begin, MAX_LIFETIME, Marker, Origins, Readiness, Software, Verdict, WRITE_TIMEOUT,
+};
+
+/// Service of all streams.
+const SERVICE: &str = "svc";
+/// Key of its base.
+const MARKER: &str = "service/svc";
+/// Timeout of the route, and the time for which streams of it can last, in milliseconds.
+const TIMEOUT: Millis = 20_000;
+const LIFETIME: Millis = TIMEOUT + 1_000;
+/// Interval at which an instance looks at its list, in milliseconds.
+const TURN: Millis = 400;
+/// Start of the clock, in milliseconds.
+const START: Millis = 1_000_000;
+
+fn v(version: &str) -> Software {
+    Software::of(SERVICE, version)
+}
+
+/// Records that an instance has passed on to the store, with their number.
+type Append = (u64, Vec<(String, Vec<u8>)>);
+/// What a read has returned: the era and all records.
+type Read = (u64, IndexMap<String, Vec<u8>>);
+
+/// An instance without I/O.
+struct Node {
+    name: String,
+    origins: Origins,
+    listed: IndexSet<Software>,
+    informed: bool,
+    /// The store answers it.
+    store: bool,
+    /// Difference of its clock, in milliseconds.
+    clock: Millis,
+    appends: u64,
+}
+
+/// Three instances, the store, and the version that began each stream.
+struct World {
+    now: Millis,
+    era: u64,
+    store: IndexMap<String, Vec<u8>>,
+    nodes: Vec<Node>,
+    began: IndexMap<String, Software>,
+}
+
+impl World {
+    /// A fleet that sees its first lists and has read the store, if that answers.
+    fn start(first_start: bool, listed: &[&str], store: bool) -> Self {
+        let mut w = Self {
+            now: START,
+            era: 1,
+            store: IndexMap::new(),
+            nodes: Vec::new(),
+            began: IndexMap::new(),
+        };
+        for i in 0..3 {
+            let name = format!("entry-{i}");
+            let (origins, listed) = (Origins::new(&name, first_start), IndexSet::new());
+            let clock = 77_777_777 * i;
+            let informed = true;
+            w.nodes.push(Node { name, origins, listed, informed, store, clock, appends: 0 });
+            w.nodes.last_mut().unwrap().origins.extend_lifetime(TIMEOUT);
+        }
+        w.list_all(listed);
+        (0..3).filter(|_| store).for_each(|i| w.read(i));
+        w
+    }
+
+    /// A fleet whose base is v1, with v1 and v2 listed.
+    fn mixed() -> Self {
+        let mut w = Self::start(false, &["v1"], true);
+        w.run(LIFETIME + TURN);
+        w.list_all(&["v1", "v2"]);
+        assert!((0..3).all(|i| w.base(i) == Some(v("v1"))));
+        w
+    }
+
+    fn node(&mut self, i: usize) -> (Millis, &mut Node) {
+        (self.now + self.nodes[i].clock, &mut self.nodes[i])
+    }
+
+    fn base(&mut self, i: usize) -> Option<Software> {
+        let (now, node) = self.node(i);
+        node.origins.base(now, SERVICE)
+    }
+
+    /// Starts an instance again, with the same list.
+    fn restart(&mut self, i: usize) {
+        let node = &mut self.nodes[i];
+        node.origins = Origins::new(&node.name, false);
+        node.origins.extend_lifetime(TIMEOUT);
+        node.clock = 55_555 * i as Millis;
+        self.observe(i);
+        if self.nodes[i].store {
+            self.read(i);
+        }
+    }
+
+    fn list(&mut self, i: usize, versions: &[&str]) {
+        self.nodes[i].listed = versions.iter().map(|version| v(version)).collect();
+        self.observe(i);
+    }
+
+    fn list_all(&mut self, versions: &[&str]) {
+        (0..self.nodes.len()).for_each(|i| self.list(i, versions));
+    }
+
+    fn observe(&mut self, i: usize) {
+        let (now, node) = self.node(i);
+        node.origins.observe(now, SERVICE, &node.listed, node.informed);
+    }
+
+    fn snapshot(&self) -> Read {
+        (self.era, self.store.clone())
+    }
+
+    fn apply(&mut self, i: usize, (era, records): &Read) {
+        let (now, node) = self.node(i);
+        node.origins.set_era(now, *era);
+        records.iter().for_each(|(k, value)| _ = node.origins.learn(now, k, value));
+        node.origins.set_read();
+    }
+
+    fn read(&mut self, i: usize) {
+        let read = self.snapshot();
+        self.apply(i, &read);
+    }
+
+    /// Passes the changes of an instance on to the writer.
+    fn submit(&mut self, i: usize) -> Append {
+        let (now, node) = self.node(i);
+        let records = node.origins.take_writes(now);
+        if !records.is_empty() {
+            node.appends += 1;
+            node.origins.set_submitted(now, node.appends);
+        }
+        (node.appends, records)
+    }
+
+    fn execute(&mut self, append: &Append) {
+        self.store.extend(append.1.iter().cloned());
+    }
+
+    fn acknowledge(&mut self, i: usize, append: &Append) {
+        self.nodes[i].origins.set_written(append.0);
+    }
+
+    /// Writes the changes of an instance.
+    fn flush(&mut self, i: usize) {
+        let append = self.submit(i);
+        self.execute(&append);
+        self.acknowledge(i, &append);
+    }
+
+    /// One turn of an instance.
+    fn turn(&mut self, i: usize) {
+        self.observe(i);
+        let (now, node) = self.node(i);
+        node.origins.expire(now);
+        if self.nodes[i].store {
+            if self.nodes[i].origins.needs_read() {
+                self.read(i);
+            }
+            self.flush(i);
+        }
+    }
+
+    fn run(&mut self, ms: Millis) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now = end.min(self.now + TURN);
+            (0..self.nodes.len()).for_each(|i| self.turn(i));
+        }
+    }
+
+    /// Goes back to a copy of the store.
+    fn restore(&mut self, copy: IndexMap<String, Vec<u8>>) {
+        (self.era, self.store) = (self.era + 1, copy);
+    }
+
+    /// Prepares an attempt as the driver does, if a version may be chosen.
+    fn prepare_until(&mut self, i: usize, id: &str, version: &str, wait: Millis) -> Readiness {
+        let (now, node) = self.node(i);
+        let listed = &node.listed;
+        let begin = node.origins.begin(now, SERVICE, |b| listed.contains(&b));
+        if matches!(begin, Begin::Base(base) if base != v(version)) {
+            return Readiness::Wait;
+        }
+        node.origins.prepare(now, SERVICE, id, v(version), now.saturating_add(wait))
+    }
+
+    fn prepare(&mut self, i: usize, id: &str, version: &str) -> Readiness {
+        self.prepare_until(i, id, version, TIMEOUT)
+    }
+
+    /// The first event of an attempt arrives, if it may be sent.
+    fn begin(&mut self, i: usize, id: &str, version: &str) -> Readiness {
+        let mut readiness = self.prepare(i, id, version);
+        if readiness == Readiness::Wait && self.nodes[i].store {
+            self.flush(i);
+            readiness = self.prepare(i, id, version);
+        }
+        if readiness == Readiness::Ready {
+            self.began.insert(id.to_owned(), v(version));
+        }
+        readiness
+    }
+
+    /// What an instance says to a caller that resumes a stream: never another version than the one that
+    /// began it.
+    fn resume(&mut self, i: usize, id: &str) -> Verdict {
+        let read = self.nodes[i].store;
+        let (now, node) = self.node(i);
+        let verdict = match node.origins.known(now, id) {
+            Some(known) => known,
+            None => {
+                if read {
+                    self.read(i);
+                }
+                self.nodes[i].origins.verdict(now, SERVICE, Some(id), read, true)
+            }
+        };
+        if let (Verdict::Began(at), Some(began)) = (verdict, self.began.get(id)) {
+            assert_eq!(at, *began, "ORDER: {id} goes on at another version");
+        }
+        verdict
+    }
+
+    /// Resumes at all instances whose store answers go on.
+    fn assert_goes_on(&mut self, id: &str) {
+        let began = Verdict::Began(*self.began.get(id).unwrap());
+        for i in 0..self.nodes.len() {
+            assert_eq!(self.resume(i, id), began, "{id} at instance {i}");
+        }
+    }
+
+    fn refuse(&mut self, i: usize) {
+        self.nodes[i].store = false;
+    }
+}
+
+fn play(case: &impl Fn(&mut World)) {
+    case(&mut World::mixed());
+}
+
+fn play_from_start(case: &impl Fn()) {
+    case();
+}
+
+/// No event yet may go anywhere; the first event keeps its version over three breaks.
+fn any_version_before_the_first_event(w: &mut World) {
+    assert_eq!(w.begin(0, "base", "v1"), Readiness::Ready);
+    assert_eq!(w.prepare(0, "a", "v2"), Readiness::Wait);
+    assert_eq!(w.begin(0, "a", "v2"), Readiness::Ready);
+    assert_eq!(w.begin(0, "b", "v3"), Readiness::Ready);
+    for _ in 0..3 {
+        ["base", "a", "b"].iter().for_each(|id| w.assert_goes_on(id));
+        w.run(2_000);
+        w.restart(0);
+    }
+    assert_eq!(w.resume(1, "c"), Verdict::Began(v("v1")));
+}
+
+/// A kill with writes that aren't acknowledged: what wasn't sent began nowhere.
+fn kill_before_the_write(w: &mut World) {
+    assert_eq!(w.prepare(0, "a", "v2"), Readiness::Wait);
+    let append = w.submit(0);
+    w.restart(0);
+    assert_eq!(w.begin(0, "b", "v2"), Readiness::Ready);
+    drop(append);
+    w.assert_goes_on("b");
+}
+
+/// An attempt that was on record at v2 is sent to the base.
+fn withdrawn_record(w: &mut World) {
+    w.nodes[0].origins.extend_lifetime(TIMEOUT);
+    assert_eq!(w.begin(0, "a", "v2"), Readiness::Ready);
+    assert_eq!(w.prepare(0, "a", "v1"), Readiness::Wait, "v2 is still on record");
+    assert_eq!(w.begin(0, "a", "v1"), Readiness::Ready);
+    w.assert_goes_on("a");
+}
+
+/// The same, with an instance that read the record before it was withdrawn.
+fn withdrawn_record_that_was_read_before(w: &mut World) {
+    assert_eq!(w.begin(0, "a", "v2"), Readiness::Ready);
+    w.read(1);
+    assert_eq!(w.begin(0, "a", "v1"), Readiness::Ready);
+    w.assert_goes_on("a");
+}
+
+/// An append that got no answer is executed after the one that repeated it.
+fn append_executed_after_its_repetition(w: &mut World) {
+    w.prepare(0, "a", "v2");
+    let first = w.submit(0);
+    w.prepare(0, "b", "v2");
+    let second = w.submit(0);
+    w.execute(&second);
+    w.acknowledge(0, &second);
+    assert_eq!(w.begin(0, "b", "v2"), Readiness::Ready);
+    w.execute(&first);
+    w.resume(1, "b");
+}
+
+/// An append of a process that was killed is executed after the next process has written.
+fn append_executed_after_a_restart(w: &mut World) {
+    w.prepare(0, "a", "v2");
+    let first = w.submit(0);
+    w.restart(0);
+    assert_eq!(w.begin(0, "b", "v2"), Readiness::Ready);
+    w.execute(&first);
+    w.resume(1, "b");
+}
+
+/// A base is proposed while the store is away; the base before serves again when it is back.
+fn base_proposed_before_a_release_goes_back(w: &mut World) {
+    w.list_all(&["v2"]);
+    w.run(1_000);
+    w.restart(1);
+    w.run(LIFETIME - 1_400);
+    w.refuse(0);
+    w.refuse(2);
+    // Instances 0 and 2 propose v2, and the store refuses their writes.
+    w.run(800);
+    w.list_all(&["v1", "v2"]);
+    w.run(800);
+    assert_eq!(w.begin(1, "a", "v1"), Readiness::Ready);
+    (w.nodes[0].store, w.nodes[2].store) = (true, true);
+    w.run(800);
+    w.resume(2, "a");
+}
+
+/// The same, with an append that is executed late instead.
+fn base_written_late_after_a_release_went_back(w: &mut World) {
+    w.list_all(&["v2"]);
+    w.run(1_000);
+    w.restart(1);
+    w.run(LIFETIME - 1_200);
+    w.now += TURN;
+    w.observe(0);
+    let late = w.submit(0);
+    w.list_all(&["v1", "v2"]);
+    w.run(800);
+    assert_eq!(w.begin(1, "a", "v1"), Readiness::Ready);
+    w.execute(&late);
+    w.resume(2, "a");
+}
+
+/// The record was read while the base was not listed, and the base changes before it is listed again.
+fn base_read_before_it_was_listed_again(w: &mut World) {
+    w.list_all(&["v2"]);
+    w.run(LIFETIME - 800);
+    w.restart(1);
+    w.now += 800;
+    w.read(1);
+    w.observe(0);
+    w.flush(0);
+    w.list_all(&["v1", "v2"]);
+    assert_eq!(w.begin(1, "a", "v1"), Readiness::Ready);
+    w.resume(2, "a");
+}
+
+/// A read that began before the base was listed again ends after it.
+fn read_under_way_when_the_base_is_listed_again(w: &mut World) {
+    w.list_all(&["v2"]);
+    w.run(LIFETIME - 800);
+    w.restart(1);
+    w.observe(1);
+    w.now += 800;
+    let read = w.snapshot();
+    w.observe(0);
+    w.flush(0);
+    w.list_all(&["v1", "v2"]);
+    w.apply(1, &read);
+    w.begin(1, "a", "v1");
+    w.resume(2, "a");
+}
+
+/// The base is listed again after it was gone, without a change of it.
+fn base_listed_again(w: &mut World) {
+    assert_eq!(w.begin(0, "a", "v1"), Readiness::Ready);
+    w.list_all(&["v2"]);
+    w.run(2_000);
+    assert_eq!(w.base(1), None);
+    w.list_all(&["v1", "v2"]);
+    assert!(w.nodes[1].origins.needs_read());
+    w.run(TURN);
+    assert_eq!(w.base(1), Some(v("v1")));
+    w.assert_goes_on("a");
+}
+
+/// The base changes while an instance is cut off: the others wait for it.
+fn base_change_waits_for_an_instance_with_an_old_list(w: &mut World) {
+    (w.nodes[1].informed, w.nodes[2].informed) = (false, false);
+    w.refuse(0);
+    w.list(0, &["v1"]);
+    w.list(1, &["v2"]);
+    w.list(2, &["v2"]);
+    w.run(3 * LIFETIME);
+    assert_eq!(w.begin(0, "a", "v1"), Readiness::Ready);
+    w.resume(1, "a");
+    (w.nodes[1].informed, w.nodes[2].informed) = (true, true);
+    w.list(0, &["v2"]);
+    w.nodes[0].store = true;
+    w.run(LIFETIME + TURN);
+    assert!((0..3).all(|i| w.base(i) == Some(v("v2"))));
+}
+
+/// The same, with resumes at an instance that can't read the store.
+fn old_list_of_another_instance_without_the_store(w: &mut World) {
+    (w.nodes[1].informed, w.nodes[2].informed) = (false, false);
+    w.list(0, &["v1"]);
+    w.list(1, &["v2"]);
+    w.list(2, &["v2"]);
+    w.run(LIFETIME + TURN);
+    assert_eq!(w.begin(0, "a", "v1"), Readiness::Ready);
+    w.refuse(1);
+    w.resume(1, "a");
+}
+
+/// The store refuses an instance while versions are mixed: only the base.
+fn store_away_with_the_base(w: &mut World) {
+    w.refuse(0);
+    assert_eq!(w.prepare(0, "a", "v2"), Readiness::Wait);
+    w.submit(0);
+    w.now += WRITE_TIMEOUT;
+    assert_eq!(w.prepare(0, "b", "v2"), Readiness::Wait);
+    assert_eq!(w.prepare(0, "a", "v1"), Readiness::Stuck);
+    assert_eq!(w.begin(0, "c", "v1"), Readiness::Ready);
+    w.assert_goes_on("c");
+    w.nodes[0].store = true;
+    w.run(TURN);
+}
+
+/// The same, while endpoints of the base are away for a moment.
+fn store_away_without_endpoints_of_the_base(w: &mut World) {
+    w.refuse(0);
+    w.prepare(0, "a", "v2");
+    w.submit(0);
+    w.now += WRITE_TIMEOUT;
+    w.list_all(&["v2"]);
+    w.begin(0, "b", "v2");
+    w.list_all(&["v1", "v2"]);
+    w.run(TURN);
+    w.resume(1, "b");
+}
+
+/// The same, with an instance that alone saw the base go.
+fn store_away_with_a_base_that_has_to_be_read(w: &mut World) {
+    w.refuse(0);
+    w.list(0, &["v2"]);
+    w.list(0, &["v1", "v2"]);
+    w.prepare(0, "a", "v2");
+    w.submit(0);
+    w.now += WRITE_TIMEOUT;
+    w.begin(0, "b", "v2");
+    w.resume(1, "b");
+}
+
+/// An instance starts without the store after a release, which goes back.
+fn start_without_the_store_after_a_release(w: &mut World) {
+    w.list_all(&["v2"]);
+    w.refuse(0);
+    w.restart(0);
+    w.begin(0, "a", "v2");
+    w.list_all(&["v1", "v2"]);
+    w.run(TURN);
+    w.resume(1, "a");
+}
+
+/// One instance has a caller that waits for longer than the timeout of the route.
+fn long_deadline_at_one_instance(w: &mut World) {
+    w.nodes[0].origins.extend_lifetime(120_000);
+    assert_eq!(w.prepare_until(0, "a", "v1", 120_000), Readiness::Ready);
+    w.began.insert("a".to_owned(), v("v1"));
+    w.list_all(&["v2"]);
+    w.run(LIFETIME + TURN);
+    w.resume(1, "a");
+}
+
+/// Endless `Deadline-Ms`: the stream is on record for the longest time.
+fn endless_deadline(w: &mut World) {
+    w.nodes[0].origins.extend_lifetime(Millis::MAX);
+    w.prepare_until(0, "a", "v2", Millis::MAX);
+    w.flush(0);
+    assert_eq!(w.prepare_until(0, "a", "v2", Millis::MAX), Readiness::Ready);
+    w.began.insert("a".to_owned(), v("v2"));
+    w.run(MAX_LIFETIME - 1_000);
+    w.assert_goes_on("a");
+}
+
+/// `Resumes` is absent: only what alone has served is sure.
+fn resumes_absent(w: &mut World) {
+    let (now, node) = w.node(1);
+    assert_eq!(node.origins.verdict(now, SERVICE, None, true, true), Verdict::Unknown);
+    w.list_all(&["v1"]);
+    w.run(LIFETIME + TURN);
+    let (now, node) = w.node(1);
+    assert_eq!(node.origins.verdict(now, SERVICE, None, true, true), Verdict::Began(v("v1")));
+    assert_eq!(node.origins.verdict(now, SERVICE, None, true, false), Verdict::Unknown);
+}
+
+/// An endpoint turns out to be another incarnation than the one that the request was sent to.
+fn doubted_stream(w: &mut World) {
+    assert_eq!(w.begin(0, "a", "v1"), Readiness::Ready);
+    w.nodes[0].origins.doubt("a");
+    w.flush(0);
+    assert_eq!(w.resume(0, "a"), Verdict::Unknown);
+    assert_eq!(w.resume(1, "a"), Verdict::Unknown);
+}
+
+/// The store goes back to a copy without the newest records: a running and a restarted instance.
+fn restored_store(w: &mut World) {
+    let copy = w.store.clone();
+    assert_eq!(w.begin(0, "a", "v2"), Readiness::Ready);
+    w.restore(copy);
+    w.restart(2);
+    assert_eq!(w.resume(1, "a"), Verdict::Unknown);
+    assert_eq!(w.resume(2, "a"), Verdict::Unknown);
+    w.read(0);
+    w.run(TURN);
+    w.assert_goes_on("a");
+    w.list_all(&["v2"]);
+    w.run(2 * LIFETIME);
+    assert!((0..3).all(|i| w.base(i) == Some(v("v2"))));
+}
+
+/// The copy is older than the first base, and one instance had not heard of the last base.
+fn store_restored_from_before_the_first_base(w: &mut World) {
+    w.list_all(&["v2"]);
+    w.run(LIFETIME - TURN);
+    w.restart(1);
+    w.run(2 * TURN);
+    assert_eq!(w.base(0), Some(v("v2")));
+    w.restore(IndexMap::new());
+    w.list_all(&["v1", "v2"]);
+    (0..3).for_each(|i| w.read(i));
+    w.run(LIFETIME + TURN);
+    w.begin(0, "a", "v2");
+    w.begin(1, "b", "v1");
+    w.resume(2, "a");
+    w.resume(2, "b");
+}
+
+/// An instance that reads nothing after the store was restored proposes the same base as the others.
+fn base_of_an_instance_that_has_not_seen_the_restore(w: &mut World) {
+    let copy = w.store.clone();
+    w.restore(copy);
+    (0..2).for_each(|i| w.read(i));
+    w.list_all(&["v2"]);
+    w.run(LIFETIME + 2 * TURN);
+    w.list_all(&["v2", "v3"]);
+    assert_eq!(w.begin(0, "a", "v2"), Readiness::Ready);
+    assert_eq!(w.resume(1, "a"), Verdict::Began(v("v2")), "refused though its base is known");
+}
+
+/// After the store was restored, the base is held back, and counts before it is written.
+fn base_held_back_after_a_restore(w: &mut World) {
+    w.list_all(&["v1"]);
+    w.run(LIFETIME + TURN);
+    let copy = w.store.clone();
+    w.restore(copy);
+    (0..3).for_each(|i| w.read(i));
+    w.run(TURN);
+    w.list_all(&["v1", "v2"]);
+    w.now += LIFETIME - TURN;
+    assert_eq!(w.begin(0, "a", "v1"), Readiness::Ready);
+    w.restart(0);
+    assert_eq!(w.resume(1, "a"), Verdict::Began(v("v1")), "begun at the base, on no record");
+}
+
+/// The endpoint of a stream turns out to be of another version, and its instance is killed before that
+/// is written.
+fn doubt_not_written(w: &mut World) {
+    assert_eq!(w.begin(0, "a", "v1"), Readiness::Ready);
+    w.began.insert("a".to_owned(), v("v2"));
+    w.nodes[0].origins.doubt("a");
+    w.restart(0);
+    w.resume(1, "a");
+}
+
+/// A caller without a deadline goes on after the longest time for which a stream is on record.
+fn endless_deadline_after_the_record(w: &mut World) {
+    w.nodes[0].origins.extend_lifetime(Millis::MAX);
+    w.prepare_until(0, "a", "v2", Millis::MAX);
+    w.flush(0);
+    assert_eq!(w.prepare_until(0, "a", "v2", Millis::MAX), Readiness::Ready);
+    w.began.insert("a".to_owned(), v("v2"));
+    w.run(MAX_LIFETIME + TURN);
+    w.begin(0, "b", "v2");
+    w.resume(1, "a");
+}
+
+/// A record of another writer can't be decoded, and stays.
+fn undecodable_record_that_stays(w: &mut World) {
+    w.store.insert("instance/other".to_owned(), vec![0xc1; 9]);
+    w.begin(0, "a", "v1");
+    assert_eq!(w.resume(1, "a"), Verdict::Unknown, "it may be on the record");
+    w.run(LIFETIME + TURN);
+    w.begin(0, "b", "v1");
+    w.resume(1, "b");
+    w.run(2 * LIFETIME);
+    w.begin(0, "c", "v1");
+    assert_eq!(w.resume(1, "c"), Verdict::Began(v("v1")), "no stream is older than the record");
+}
+
+/// The base is removed from the store.
+fn marker_removed(w: &mut World) {
+    w.store.insert(MARKER.to_owned(), Vec::new());
+    w.restart(1);
+    assert_eq!(w.begin(0, "a", "v1"), Readiness::Ready);
+    assert_eq!(w.resume(1, "a"), Verdict::Unknown);
+    w.list_all(&["v1"]);
+    w.run(LIFETIME + TURN);
+    w.list_all(&["v1", "v2"]);
+    w.begin(0, "b", "v1");
+    w.assert_goes_on("b");
+}
+
+/// The base of a later era of the store doesn't count.
+fn marker_of_another_era(w: &mut World) {
+    let marker = Marker { base: Some(v("v2")), era: w.era + 1 };
+    w.store.insert(MARKER.to_owned(), codec::pack_positional(&marker));
+    w.begin(0, "a", "v1");
+    assert_eq!(w.resume(1, "a"), Verdict::Unknown);
+}
+
+cases! { play:
+    no_event_yet_may_go_anywhere_and_the_first_version_is_kept => any_version_before_the_first_event;
+    kill_with_writes_not_acknowledged => kill_before_the_write;
+    record_is_withdrawn_before_the_request_is_sent => withdrawn_record;
+    base_counts_again_once_read => base_listed_again;
+    base_changes_once_all_have_the_list => base_change_waits_for_an_instance_with_an_old_list;
+    only_the_base_while_nothing_can_be_written => store_away_with_the_base;
+    stream_without_end_is_kept_for_the_longest_time => endless_deadline;
+    nobody_named_needs_one_version_alone => resumes_absent;
+    doubted_stream_is_not_resumed => doubted_stream;
+    restored_store_refuses_what_it_may_have_lost => restored_store;
+    removed_base_is_found_again => marker_removed;
+    base_of_another_era_does_not_count => marker_of_another_era;
+    // Failures found.
+    late_append_joined_versions => append_executed_after_its_repetition;
+    late_append_of_a_killed_process_joined_versions => append_executed_after_a_restart;
+    withdrawn_record_known_elsewhere_joined_versions => withdrawn_record_that_was_read_before;
+    base_proposed_before_going_back_joined_versions => base_proposed_before_a_release_goes_back;
+    base_written_late_joined_versions => base_written_late_after_a_release_went_back;
+    base_read_too_early_joined_versions => base_read_before_it_was_listed_again;
+    read_under_way_joined_versions => read_under_way_when_the_base_is_listed_again;
+    alone_at_one_instance_joined_versions => old_list_of_another_instance_without_the_store;
+    unrecorded_stream_joined_versions => store_away_without_endpoints_of_the_base;
+    unrecorded_stream_at_one_instance_joined_versions => store_away_with_a_base_that_has_to_be_read;
+    start_without_the_store_joined_versions => start_without_the_store_after_a_release;
+    long_deadline_joined_versions => long_deadline_at_one_instance;
+    memory_of_an_older_base_joined_versions => store_restored_from_before_the_first_base;
+    base_of_an_older_era_refused_streams => base_of_an_instance_that_has_not_seen_the_restore;
+    base_counted_before_it_was_written_refused_a_stream => base_held_back_after_a_restore;
+    doubt_not_written_joined_versions => doubt_not_written;
+    endless_deadline_joined_versions => endless_deadline_after_the_record;
+    undecodable_record_refused_streams_for_ever => undecodable_record_that_stays;
+}
+
+/// One version at the first start: it is the base at once; two: once one has served alone.
+fn first_start() {
+    let mut w = World::start(true, &["v1"], true);
+    w.run(3_000 + TURN);
+    assert!((0..3).all(|i| w.base(i) == Some(v("v1"))));
+    let mut w = World::start(true, &["v1", "v2"], true);
+    w.run(2 * LIFETIME);
+    assert_eq!(w.base(0), None);
+    assert_eq!(w.begin(0, "a", "v1"), Readiness::Ready);
+    assert_eq!(w.begin(1, "b", "v2"), Readiness::Ready);
+    w.assert_goes_on("a");
+    w.assert_goes_on("b");
+}
+
+/// A release within the first seconds; a stream began before its instance had read the store, and the
+/// instance is killed before it has written.
+fn first_start_with_a_release() {
+    let mut w = World::start(true, &["v1"], false);
+    w.begin(0, "a", "v1");
+    (0..3).for_each(|i| w.nodes[i].store = true);
+    (1..3).for_each(|i| w.read(i));
+    w.restart(0);
+    w.list_all(&["v2"]);
+    w.run(3_000 + 2 * TURN);
+    w.resume(1, "a");
+}
+
+/// The store is restored long after the first start, and one instance reads nothing after it.
+fn first_start_long_ago() {
+    let mut w = World::start(true, &["v1"], true);
+    w.run(LIFETIME);
+    w.list_all(&["v1", "v2"]);
+    let copy = w.store.clone();
+    w.restore(copy);
+    (0..2).for_each(|i| w.read(i));
+    w.run(LIFETIME - 5_000);
+    assert_eq!(w.begin(2, "a", "v1"), Readiness::Ready);
+    w.list_all(&["v2"]);
+    w.run(6_000);
+    w.resume(1, "a");
+}
+
+cases! { play_from_start:
+    first_start_takes_the_only_version => first_start;
+    release_at_the_first_start_joined_versions => first_start_with_a_release;
+    first_start_long_ago_joined_versions => first_start_long_ago;
+}
