--- a/src/policy/origin/record.rs
+++ b/src/policy/origin/record.rs
@@ -39,11 +39,17 @@
     }
 }
 
+/// Streams that began at one software version: attempts and the time for which their callers wait, in
+/// milliseconds.
+type Began = Vec<(Attempt, u32)>;
+
 data! {
     /// The base version of a service.
     pub struct Marker {
         /// That version; `None` if there is none.
         pub base: Option<Software>,
+        /// Streams may begin at it without a record.
+        pub open: bool,
         /// Era of the platform in which it was written: one that was restored from a copy may hold an
         /// older one.
         pub era: u64,
@@ -53,8 +59,8 @@
     /// be resumed.
     #[derive(Default)]
     pub struct StreamsRecord {
-        /// Attempts and the time for which their callers wait, in milliseconds.
-        pub services: IndexMap<String, IndexMap<Option<Software>, Vec<(Attempt, u32)>>>,
+        /// Streams by service and version.
+        pub services: IndexMap<String, IndexMap<Option<Software>, Began>>,
     }
 }
 
