--- a/tests/origin.rs
+++ b/tests/origin.rs
@@ -27,22 +27,61 @@
     Software::of(SERVICE, version)
 }
 
-/// Records that an instance has passed on to the store, with their number.
-type Append = (u64, Vec<(String, Vec<u8>)>);
-/// What a read has returned: the era and all records.
-type Read = (u64, IndexMap<String, Vec<u8>>);
+/// A write: the start of its process and its number there, and the changes with theirs.
+#[derive(Clone, Default)]
+struct Append {
+    epoch: u64,
+    sequence: u64,
+    changes: Vec<(u64, String, Vec<u8>)>,
+}
+
+/// What a read returns: its number, the era and all records.
+type Read = (u64, u64, IndexMap<String, Vec<u8>>);
 
-/// An instance without I/O.
+/// An instance without I/O, with its writer.
 struct Node {
     name: String,
     origins: Origins,
     listed: IndexSet<Software>,
+    /// It is in contact with all others, which have the same list.
     informed: bool,
+    /// Its list is so young that no other has given it up, or all have the same.
+    current: bool,
     /// The store answers it.
     store: bool,
     /// Difference of its clock, in milliseconds.
     clock: Millis,
-    appends: u64,
+    reads: u64,
+    /// Starts of its process, writes of this one, and changes.
+    epoch: u64,
+    sequence: u64,
+    changes: u64,
+    /// Newest values that aren't written, and the write that isn't answered.
+    board: IndexMap<String, (u64, Vec<u8>)>,
+    in_flight: Option<Append>,
+}
+
+impl Node {
+    fn new(i: usize, first_start: bool, store: bool) -> Self {
+        let name = format!("entry-{i}");
+        let mut origins = Origins::new(&name, first_start);
+        origins.extend_lifetime(TIMEOUT);
+        Self {
+            name,
+            origins,
+            listed: IndexSet::new(),
+            informed: true,
+            current: true,
+            store,
+            clock: 77_777_777 * i as Millis,
+            reads: 0,
+            epoch: 1,
+            sequence: 0,
+            changes: 0,
+            board: IndexMap::new(),
+            in_flight: None,
+        }
+    }
 }
 
 /// Three instances, the store, and the version that began each stream.
@@ -50,6 +89,8 @@
     now: Millis,
     era: u64,
     store: IndexMap<String, Vec<u8>>,
+    /// The last write of each instance that was executed.
+    producers: IndexMap<String, (u64, u64)>,
     nodes: Vec<Node>,
     began: IndexMap<String, Software>,
 }
@@ -61,17 +102,10 @@
             now: START,
             era: 1,
             store: IndexMap::new(),
-            nodes: Vec::new(),
+            producers: IndexMap::new(),
+            nodes: (0..3).map(|i| Node::new(i, first_start, store)).collect(),
             began: IndexMap::new(),
         };
-        for i in 0..3 {
-            let name = format!("entry-{i}");
-            let (origins, listed) = (Origins::new(&name, first_start), IndexSet::new());
-            let clock = 77_777_777 * i;
-            let informed = true;
-            w.nodes.push(Node { name, origins, listed, informed, store, clock, appends: 0 });
-            w.nodes.last_mut().unwrap().origins.extend_lifetime(TIMEOUT);
-        }
         w.list_all(listed);
         (0..3).filter(|_| store).for_each(|i| w.read(i));
         w
@@ -97,10 +131,11 @@
 
     /// Starts an instance again, with the same list.
     fn restart(&mut self, i: usize) {
-        let node = &mut self.nodes[i];
-        node.origins = Origins::new(&node.name, false);
-        node.origins.extend_lifetime(TIMEOUT);
-        node.clock = 55_555 * i as Millis;
+        let old = &self.nodes[i];
+        let mut node = Node::new(i, false, old.store);
+        (node.informed, node.current, node.epoch) = (old.informed, old.current, old.epoch + 1);
+        (node.listed, node.clock) = (old.listed.clone(), 55_555 * i as Millis);
+        self.nodes[i] = node;
         self.observe(i);
         if self.nodes[i].store {
             self.read(i);
@@ -119,48 +154,81 @@
     fn observe(&mut self, i: usize) {
         let (now, node) = self.node(i);
         node.origins.observe(now, SERVICE, &node.listed, node.informed);
+        node.origins.set_list_current(node.current);
     }
 
-    fn snapshot(&self) -> Read {
-        (self.era, self.store.clone())
+    /// A read that begins now.
+    fn snapshot(&mut self, i: usize) -> Read {
+        let (now, node) = self.node(i);
+        node.reads += 1;
+        if node.origins.needs_read(now) {
+            node.origins.set_reading(now, node.reads);
+        }
+        (self.nodes[i].reads, self.era, self.store.clone())
     }
 
-    fn apply(&mut self, i: usize, (era, records): &Read) {
+    fn apply(&mut self, i: usize, (number, era, records): &Read) {
         let (now, node) = self.node(i);
         node.origins.set_era(now, *era);
         records.iter().for_each(|(k, value)| _ = node.origins.learn(now, k, value));
-        node.origins.set_read();
+        node.origins.finish_read(now, *number, true);
+        self.observe(i);
     }
 
     fn read(&mut self, i: usize) {
-        let read = self.snapshot();
+        let read = self.snapshot(i);
         self.apply(i, &read);
     }
 
-    /// Passes the changes of an instance on to the writer.
+    /// Passes the changes of an instance on to its writer; the write that is under way.
     fn submit(&mut self, i: usize) -> Append {
         let (now, node) = self.node(i);
-        let records = node.origins.take_writes(now);
-        if !records.is_empty() {
-            node.appends += 1;
-            node.origins.set_submitted(now, node.appends);
+        for (key, value) in node.origins.take_writes(now) {
+            node.changes += 1;
+            node.board.insert(key, (node.changes, value));
+            node.origins.set_submitted(now, node.changes);
         }
-        (node.appends, records)
+        if node.in_flight.is_none() && !node.board.is_empty() {
+            node.sequence += 1;
+            let changes = node.board.iter().map(|(k, (n, value))| (*n, k.clone(), value.clone()));
+            let (epoch, sequence) = (node.epoch, node.sequence);
+            node.in_flight = Some(Append { epoch, sequence, changes: changes.collect() });
+        }
+        node.in_flight.clone().unwrap_or_default()
     }
 
-    fn execute(&mut self, append: &Append) {
-        self.store.extend(append.1.iter().cloned());
+    /// The store executes a write of an instance once, and none after one of a later process.
+    fn execute(&mut self, i: usize, append: &Append) {
+        let last = self.producers.entry(self.nodes[i].name.clone()).or_default();
+        if (append.epoch, append.sequence) > *last {
+            *last = (append.epoch, append.sequence);
+            self.store
+                .extend(append.changes.iter().map(|(_, k, value)| (k.clone(), value.clone())));
+        }
     }
 
     fn acknowledge(&mut self, i: usize, append: &Append) {
-        self.nodes[i].origins.set_written(append.0);
+        let (now, node) = self.node(i);
+        for (number, key, _) in &append.changes {
+            if node.board.get(key).is_some_and(|(n, _)| n == number) {
+                node.board.swap_remove(key);
+            }
+        }
+        node.in_flight = None;
+        let unwritten = node.board.values().map(|(n, _)| n - 1).min();
+        node.origins.set_written(now, unwritten.unwrap_or(node.changes));
     }
 
     /// Writes the changes of an instance.
     fn flush(&mut self, i: usize) {
-        let append = self.submit(i);
-        self.execute(&append);
-        self.acknowledge(i, &append);
+        loop {
+            let append = self.submit(i);
+            if append.changes.is_empty() {
+                return;
+            }
+            self.execute(i, &append);
+            self.acknowledge(i, &append);
+        }
     }
 
     /// One turn of an instance.
@@ -168,11 +236,19 @@
         self.observe(i);
         let (now, node) = self.node(i);
         node.origins.expire(now);
-        if self.nodes[i].store {
-            if self.nodes[i].origins.needs_read() {
-                self.read(i);
+        if node.origins.needs_read(now) {
+            let read = self.snapshot(i);
+            if self.nodes[i].store {
+                self.apply(i, &read);
+            } else {
+                let (now, node) = self.node(i);
+                node.origins.finish_read(now, read.0, false);
             }
+        }
+        if self.nodes[i].store {
             self.flush(i);
+        } else {
+            self.submit(i);
         }
     }
 
@@ -194,8 +270,10 @@
         let (now, node) = self.node(i);
         let listed = &node.listed;
         let begin = node.origins.begin(now, SERVICE, |b| listed.contains(&b));
-        if matches!(begin, Begin::Base(base) if base != v(version)) {
-            return Readiness::Wait;
+        match begin {
+            Begin::Base(base) if base != v(version) => return Readiness::Wait,
+            Begin::Refuse => return Readiness::Stuck,
+            _ => {}
         }
         node.origins.prepare(now, SERVICE, id, v(version), now.saturating_add(wait))
     }
@@ -222,13 +300,14 @@
     fn resume(&mut self, i: usize, id: &str) -> Verdict {
         let read = self.nodes[i].store;
         let (now, node) = self.node(i);
-        let verdict = match node.origins.known(now, id) {
+        let verdict = match node.origins.own(now, id) {
             Some(known) => known,
             None => {
                 if read {
                     self.read(i);
                 }
-                self.nodes[i].origins.verdict(now, SERVICE, Some(id), read, true)
+                let current = self.nodes[i].informed;
+                self.nodes[i].origins.verdict(now, SERVICE, Some(id), read, current)
             }
         };
         if let (Verdict::Began(at), Some(began)) = (verdict, self.began.get(id)) {
@@ -305,10 +384,10 @@
     let first = w.submit(0);
     w.prepare(0, "b", "v2");
     let second = w.submit(0);
-    w.execute(&second);
+    w.execute(0, &second);
     w.acknowledge(0, &second);
     assert_eq!(w.begin(0, "b", "v2"), Readiness::Ready);
-    w.execute(&first);
+    w.execute(0, &first);
     w.resume(1, "b");
 }
 
@@ -318,7 +397,7 @@
     let first = w.submit(0);
     w.restart(0);
     assert_eq!(w.begin(0, "b", "v2"), Readiness::Ready);
-    w.execute(&first);
+    w.execute(0, &first);
     w.resume(1, "b");
 }
 
@@ -352,7 +431,7 @@
     w.list_all(&["v1", "v2"]);
     w.run(800);
     assert_eq!(w.begin(1, "a", "v1"), Readiness::Ready);
-    w.execute(&late);
+    w.execute(0, &late);
     w.resume(2, "a");
 }
 
@@ -377,7 +456,7 @@
     w.restart(1);
     w.observe(1);
     w.now += 800;
-    let read = w.snapshot();
+    let read = w.snapshot(1);
     w.observe(0);
     w.flush(0);
     w.list_all(&["v1", "v2"]);
@@ -393,7 +472,8 @@
     w.run(2_000);
     assert_eq!(w.base(1), None);
     w.list_all(&["v1", "v2"]);
-    assert!(w.nodes[1].origins.needs_read());
+    let (now, node) = w.node(1);
+    assert!(node.origins.needs_read(now));
     w.run(TURN);
     assert_eq!(w.base(1), Some(v("v1")));
     w.assert_goes_on("a");
@@ -629,7 +709,7 @@
 
 /// The base of a later era of the store doesn't count.
 fn marker_of_another_era(w: &mut World) {
-    let marker = Marker { base: Some(v("v2")), era: w.era + 1 };
+    let marker = Marker { base: Some(v("v2")), open: true, era: w.era + 1 };
     w.store.insert(MARKER.to_owned(), codec::pack_positional(&marker));
     w.begin(0, "a", "v1");
     assert_eq!(w.resume(1, "a"), Verdict::Unknown);
