First start: a version that another one replaced is not the only one

Cause: when the list changed from v1 alone to v2 alone, with no list of both in between, the instance went on as if it had seen one version only, and took v2 as the base after 3 s, while streams of v1 could still be resumed. Change: another version alone counts as more than one version, so a base needs a whole lifetime. Result: release_at_the_first_start_joined_versions failed before and passes now.

--- a/src/policy/origin/base.rs
+++ b/src/policy/origin/base.rs
@@ -52,8 +52,9 @@
     pub(super) fn observe(&mut self, now: Millis, listed: &IndexSet<Software>, informed: bool) {
         let only = listed.first().copied().filter(|_| listed.len() == 1);
         let before = self.alone.filter(|(v, _)| Some(*v) == only);
+        let is_other = self.alone.is_some() && before.is_none();
         self.alone = only.map(|v| before.unwrap_or((v, now)));
-        self.was_set |= listed.len() > 1;
+        self.was_set |= listed.len() > 1 || is_other;
         self.informed_since = informed.then(|| self.informed_since.unwrap_or(now));
         self.is_listed = self.software.is_some_and(|v| listed.contains(&v));
         if !self.is_listed {
