--- a/src/relay/ledger/board.rs
+++ b/src/relay/ledger/board.rs
@@ -48,6 +48,17 @@
         entry.written.is_none_or(|era| era < self.era)
     }
 
+    fn note_era(&mut self, era: u64) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        let keys = self.entries.values().filter(|e| e.written.is_some_and(|w| w < era)).count();
+        if keys > 0 {
+            tracing::info!(era, keys, "ledger: platform was restored, values are written again");
+        }
+    }
+
     fn has_work(&self) -> bool {
         self.is_open && self.entries.values().any(|e| e.fits && self.is_due(e))
     }
@@ -121,17 +132,9 @@
     }
 
     /// Notes the era of the platform. Values that were written in an earlier one are written again.
-    /// Returns the number of those.
-    pub fn set_era(&self, era: u64) -> usize {
-        let mut state = self.state();
-        if era <= state.era {
-            return 0;
-        }
-        let before = state.entries.values().filter(|e| state.is_due(e)).count();
-        state.era = era;
-        let lost = state.entries.values().filter(|e| state.is_due(e)).count() - before;
+    pub fn note_era(&self, era: u64) {
+        self.state().note_era(era);
         self.work.notify_all();
-        lost
     }
 
     /// The oldest changes that are to be written; `None` if there are none, or if they must wait for the
@@ -160,7 +163,7 @@
     /// that is written along with all before it, if that is news.
     pub fn acknowledge(&self, batch: &Batch, era: u64) -> Option<u64> {
         let mut state = self.state();
-        state.era = state.era.max(era);
+        state.note_era(era);
         for (number, key, _) in &batch.changes {
             match state.entries.get_mut(key) {
                 Some(entry) if entry.number != *number => {}
--- a/src/relay/ledger/reader.rs
+++ b/src/relay/ledger/reader.rs
@@ -14,6 +14,8 @@
 
 /// Number of full reads in a row after which a read has failed because records expired.
 const MAX_FULL_READS: u32 = 2;
+/// Number of pages in a row after which a full read is made: it has each key once.
+const MAX_PAGES: u32 = 4;
 
 /// Reads the records that instances wrote.
 pub struct Reader {
@@ -27,6 +29,8 @@
     position: Option<u64>,
     /// The first full read has succeeded.
     has_read: bool,
+    /// Calls of the present read.
+    calls: u64,
     /// Earliest time of the next read.
     next_at: Millis,
 }
@@ -58,6 +62,7 @@
             backoff: Backoff::default(),
             position: None,
             has_read: false,
+            calls: 0,
             next_at: 0,
         }
     }
@@ -73,9 +78,10 @@
         }
         let number = self.shared.ledger().begin_read();
         let instances = self.shared.instances().len();
-        self.next_at = now + self.budget.read_interval(instances);
         let mut found = Found::default();
+        self.calls = 0;
         let succeeded = self.read(&mut found);
+        self.next_at = now + self.calls * self.budget.read_interval(instances);
         if succeeded {
             self.backoff = Backoff::default();
         } else if !self.has_read {
@@ -103,24 +109,28 @@
         result.is_ok()
     }
 
-    /// Reads the records from a position to the end of the topic.
+    /// Reads the records from a position to the end of the topic. Those far behind the end count as
+    /// expired.
     fn read_on(&mut self, from: u64, found: &mut Found) -> Result<(), SourceError> {
         let mut from = from;
         let mut end = None;
-        while end.is_none_or(|end| from < end) {
+        for _ in 0..MAX_PAGES {
             let page = self.source.read_page(Topic::Streams, from);
             let (batch, last) = self.count("read", page, |(batch, _)| batch)?;
-            let is_stuck = batch.end == from && last > from;
+            let is_empty = batch.end == from;
             // Later pages only have to reach the end as of the first.
-            end.get_or_insert(last);
+            let end = *end.get_or_insert(last);
             from = batch.end;
             self.position = Some(from);
             found.records.extend(batch.records.into_iter().filter_map(pair));
-            if is_stuck {
+            if from >= end {
+                return Ok(());
+            }
+            if is_empty {
                 return Err(SourceError::Malformed("a page without records".to_owned()));
             }
         }
-        Ok(())
+        Err(SourceError::Expired)
     }
 
     /// Reads the newest record of every key.
@@ -128,10 +138,6 @@
         let batch = self.source.newest(Topic::Streams);
         let mut batch = self.count("newest", batch, |batch| batch)?;
         batch.records.sort_by_key(|r| r.offset);
-        if self.has_read {
-            let (era, keys) = (position::era(batch.end), batch.records.len());
-            tracing::info!(era, keys, "ledger: records expired, all were read");
-        }
         *found =
             Found { records: batch.records.into_iter().filter_map(pair).collect(), full: true };
         self.position = Some(batch.end);
@@ -145,6 +151,7 @@
         result: Result<T, SourceError>,
         batch: impl Fn(&T) -> &Batch,
     ) -> Result<T, SourceError> {
+        self.calls += 1;
         match &result {
             Ok(answer) => {
                 let records = &batch(answer).records;
@@ -169,7 +176,7 @@
             updates.ledger_era = era.or(updates.ledger_era);
         });
         if let Some(era) = era {
-            self.shared.ledger().set_era(era);
+            self.shared.ledger().note_era(era);
             self.shared.ledger().open();
         }
     }
--- a/src/relay/ledger/writer.rs
+++ b/src/relay/ledger/writer.rs
@@ -41,21 +41,14 @@
         if now < self.next_at {
             return Next::Pause(self.next_at - now);
         }
-        self.note_era();
+        if let Some(era) = self.shared.era() {
+            self.shared.ledger().note_era(era);
+        }
         let Some(batch) = self.shared.ledger().batch() else { return Next::Wait };
         self.write(&batch);
         Next::Pause(self.next_at.saturating_sub(self.clock.now()))
     }
 
-    /// Notes the era of the platform that other threads have read.
-    fn note_era(&self) {
-        let Some(era) = self.shared.era() else { return };
-        let lost = self.shared.ledger().set_era(era);
-        if lost > 0 {
-            tracing::info!(era, keys = lost, "ledger: platform was restored, values written again");
-        }
-    }
-
     fn write(&mut self, batch: &Batch) {
         let instances = self.shared.instances().len();
         self.next_at = self.clock.now() + self.budget.write_interval(instances);
