Ledger: records of instances that are gone are removed

Change: the alive instance of the lowest name compares two full reads 10 min apart, and removes at most 64 keys of instances that are not alive and whose records are the same, in one call. An instance that reads a removal of a key of its own writes the value again. ledger::start takes the name of the instance.

Cost: one full read and at most one write in 10 min for the whole fleet.

--- a/src/relay/ledger/board.rs
+++ b/src/relay/ledger/board.rs
@@ -137,6 +137,15 @@
         self.work.notify_all();
     }
 
+    /// Notes that a removal of a key was read: a value of this instance that was written before it is
+    /// written again.
+    pub fn note_removal(&self, key: &str) {
+        if let Some(entry) = self.state().entries.get_mut(key) {
+            entry.written = None;
+            self.work.notify_all();
+        }
+    }
+
     /// The oldest changes that are to be written; `None` if there are none, or if they must wait for the
     /// first read.
     pub fn batch(&self) -> Option<Batch> {
--- a/src/relay/ledger/mod.rs
+++ b/src/relay/ledger/mod.rs
@@ -7,10 +7,12 @@
 mod board;
 mod log;
 mod reader;
+mod trim;
 mod writer;
 
 pub use board::{Batch, Board};
 pub use reader::Reader;
+pub use trim::{INSTANCE_PREFIX, MAX_REMOVALS};
 pub use writer::Writer;
 
 use std::sync::Arc;
@@ -31,6 +33,10 @@
 /// milliseconds.
 const MAX_WAIT: u64 = 1_000;
 
+/// Time for which records of an instance that is gone are kept, in milliseconds: longer than a stream
+/// lasts.
+pub const RETENTION: u64 = 600_000;
+
 /// Calls that the platform accepts from all instances together, each second.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Budget {
@@ -67,8 +73,9 @@
     Wait,
 }
 
-/// Starts the threads: one writes, one reads.
+/// Starts the threads of instance `me`: one writes, one reads.
 pub fn start(
+    me: &str,
     source: &Arc<dyn Source>,
     shared: &Arc<Shared>,
     clock: &Clock,
@@ -93,6 +100,7 @@
         }
     });
     let mut reader = Reader::new(
+        (me, RETENTION),
         Arc::clone(source),
         Arc::clone(shared),
         clock.clone(),
--- a/src/relay/ledger/reader.rs
+++ b/src/relay/ledger/reader.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::log::CallLog;
+use super::trim::Trimmer;
 use super::{Backoff, Budget, Next};
 use crate::adapter::clock::{Clock, Millis};
 use crate::fleet::position;
@@ -29,6 +30,9 @@
     position: Option<u64>,
     /// The first full read has succeeded.
     has_read: bool,
+    trimmer: Trimmer,
+    /// Names of the instances that are alive.
+    alive: Vec<String>,
     /// Calls of the present read.
     calls: u64,
     /// Earliest time of the next read.
@@ -41,11 +45,17 @@
     records: Vec<(String, Vec<u8>)>,
     /// They include the newest record of every key.
     full: bool,
+    /// Keys whose removals were read.
+    removed: Vec<String>,
+    /// Keys to remove.
+    old: Vec<String>,
 }
 
 impl Reader {
-    /// A reader for the driver that `shared` informs.
+    /// A reader for the driver that `shared` informs. `trim` is the name of this instance, and the time
+    /// for which records of instances that are gone are kept, in milliseconds.
     pub fn new(
+        trim: (&str, u64),
         source: Arc<dyn Source>,
         shared: Arc<Shared>,
         clock: Clock,
@@ -62,6 +72,8 @@
             backoff: Backoff::default(),
             position: None,
             has_read: false,
+            trimmer: Trimmer::new(trim.0, trim.1),
+            alive: Vec::new(),
             calls: 0,
             next_at: 0,
         }
@@ -73,11 +85,20 @@
         if now < self.next_at {
             return Next::Pause(self.next_at - now);
         }
-        if self.has_read && !self.shared.ledger().is_read_requested() {
+        let requested = self.shared.ledger().is_read_requested();
+        if self.has_read && !requested && !self.trimmer.is_time(now) {
             return Next::Wait;
         }
+        self.alive = self.shared.instances().into_iter().map(|(name, _)| name).collect();
+        let trims = self.trimmer.is_due(now, &self.alive);
+        if self.has_read && !requested && !trims {
+            return Next::Wait;
+        }
+        if trims {
+            self.position = None;
+        }
         let number = self.shared.ledger().begin_read();
-        let instances = self.shared.instances().len();
+        let instances = self.alive.len();
         let mut found = Found::default();
         self.calls = 0;
         let succeeded = self.read(&mut found);
@@ -89,7 +110,12 @@
             self.next_at = self.next_at.max(retry_at);
         }
         self.has_read |= succeeded;
+        if trims && self.has_read {
+            self.trimmer.defer(now);
+        }
+        let old = std::mem::take(&mut found.old);
         self.publish(number, succeeded, found);
+        self.remove(&old);
         Next::Pause(self.next_at.saturating_sub(self.clock.now()))
     }
 
@@ -122,7 +148,7 @@
             let end = *end.get_or_insert(last);
             from = batch.end;
             self.position = Some(from);
-            found.records.extend(batch.records.into_iter().filter_map(pair));
+            found.add(batch.records);
             if from >= end {
                 return Ok(());
             }
@@ -138,12 +164,33 @@
         let batch = self.source.newest(Topic::Streams);
         let mut batch = self.count("newest", batch, |batch| batch)?;
         batch.records.sort_by_key(|r| r.offset);
-        *found =
-            Found { records: batch.records.into_iter().filter_map(pair).collect(), full: true };
+        *found = Found { full: true, ..Found::default() };
+        if self.trimmer.is_due(self.clock.now(), &self.alive) {
+            found.old = self.trimmer.look(&batch.records, &self.alive);
+        }
+        found.add(batch.records);
         self.position = Some(batch.end);
         Ok(())
     }
 
+    /// Removes keys, in one call. After a failure a later look finds them again.
+    fn remove(&mut self, keys: &[String]) {
+        if keys.is_empty() {
+            return;
+        }
+        let entries: Vec<_> = keys.iter().map(|k| (k.as_str(), None)).collect();
+        match self.source.put(Topic::Streams, &entries) {
+            Ok(_) => {
+                tracing::info!(
+                    keys = keys.len(),
+                    "ledger: removed records of instances that are gone"
+                );
+                self.log.succeeded("remove", keys.len(), keys.iter().map(String::len).sum());
+            }
+            Err(e) => self.log.failed("remove", &e),
+        }
+    }
+
     /// Counts a call with the records that it returned.
     fn count<T>(
         &mut self,
@@ -165,12 +212,13 @@
 
     /// Passes records and the outcome of a read to the driver.
     fn publish(&self, number: u64, succeeded: bool, found: Found) {
+        let Found { records, full, removed, .. } = found;
         let era = self.position.filter(|_| succeeded).map(position::era);
         self.shared.notify(|updates| {
-            if found.full {
-                updates.records = found.records;
+            if full {
+                updates.records = records;
             } else {
-                updates.records.extend(found.records);
+                updates.records.extend(records);
             }
             updates.read = Some((number, succeeded));
             updates.ledger_era = era.or(updates.ledger_era);
@@ -179,10 +227,19 @@
             self.shared.ledger().note_era(era);
             self.shared.ledger().open();
         }
+        for key in &removed {
+            self.shared.ledger().note_removal(key);
+        }
     }
 }
 
-/// Key and value of a record; `None` for a removal.
-fn pair(record: Record) -> Option<(String, Vec<u8>)> {
-    Some((record.key, record.value?))
+impl Found {
+    fn add(&mut self, records: Vec<Record>) {
+        for Record { key, value, .. } in records {
+            match value {
+                Some(value) => self.records.push((key, value)),
+                None => self.removed.push(key),
+            }
+        }
+    }
 }
--- a/src/relay/stats.rs
+++ b/src/relay/stats.rs
@@ -74,7 +74,7 @@
 /// Labels of a call of the ledger.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct LedgerCallLabels {
-    /// `write`, `read` or `newest`.
+    /// `write`, `read`, `newest` or `remove`.
     pub call: &'static str,
     /// How the platform answered.
     pub outcome: &'static str,
@@ -83,7 +83,7 @@
 /// Label of what calls of the ledger carried.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct LedgerLabels {
-    /// `write`, `read` or `newest`.
+    /// `write`, `read`, `newest` or `remove`.
     pub call: &'static str,
 }
 
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -14,7 +14,7 @@
 use sassafrasworks::fleet::replica::{Batch, Record, Topic};
 use sassafrasworks::policy::place::Listing;
 use sassafrasworks::relay::follow::{Source, SourceError, max_backoff};
-use sassafrasworks::relay::ledger::{self, Board, Budget, Next, Reader, Writer};
+use sassafrasworks::relay::ledger::{self, Board, Budget, MAX_REMOVALS, Next, Reader, Writer};
 use sassafrasworks::relay::state::Shared;
 use sassafrasworks::relay::stats::Metrics;
 use sassafrasworks::relay::table::RoutingTable;
@@ -22,6 +22,10 @@
 const START: u64 = 1_000_000;
 /// Calls that the users' platform accepts.
 const BUDGET: Budget = Budget { writes: 400.0, reads: 2_000.0 };
+/// Name of the instance, the lowest of the fleet.
+const ME: &str = "edge-0";
+/// Time for which records of instances that are gone are kept, in milliseconds: longer than other tests.
+const RETENTION: u64 = 1_000_000;
 /// Part of those calls that all ledgers make at most.
 const FRACTION: f64 = 0.25;
 
@@ -37,6 +41,9 @@
     Expires,
 }
 
+/// Key and value.
+type Pair = (String, Vec<u8>);
+
 /// What a call does to others while it runs.
 type Hook = Box<dyn FnMut() + Send>;
 
@@ -78,7 +85,7 @@
     /// Most records of a page.
     page: usize,
     /// Times and entries of the writes, refused ones too.
-    writes: Vec<(u64, Vec<(String, Vec<u8>)>)>,
+    writes: Vec<(u64, Vec<Pair>)>,
     /// Times of the reads from a position.
     reads: Vec<u64>,
     /// Times of the full reads.
@@ -249,7 +256,7 @@
         let (a, b, c) = parts();
         let writer = Writer::new(a, b, c, Arc::clone(&metrics), BUDGET);
         let (a, b, c) = parts();
-        let reader = Reader::new(a, b, c, Arc::clone(&metrics), BUDGET);
+        let reader = Reader::new((ME, RETENTION), a, b, c, Arc::clone(&metrics), BUDGET);
         Self { platform, shared, clock, metrics, writer, reader }
     }
 
@@ -301,7 +308,7 @@
     }
 }
 
-fn pairs(list: &[(&str, &str)]) -> Vec<(String, Vec<u8>)> {
+fn pairs(list: &[(&str, &str)]) -> Vec<Pair> {
     list.iter().map(|(k, v)| (k.to_string(), v.as_bytes().to_vec())).collect()
 }
 
@@ -770,6 +777,85 @@
     assert_eq!(instance.platform.value("a"), Some(b"1".to_vec()));
 }
 
+#[test]
+fn value_that_another_instance_removed_is_written_again() {
+    let mut instance = Instance::alone();
+    instance.board().put("instance/edge-0", b"1".to_vec());
+    instance.run(100);
+    instance.platform.with(|s| s.log.records.push(("instance/edge-0".to_owned(), None)));
+    instance.board().request_read();
+    instance.run(100);
+    assert_eq!(instance.platform.value("instance/edge-0"), Some(b"1".to_vec()));
+}
+
+/// Keys that the platform holds.
+fn keys(platform: &Platform) -> Vec<String> {
+    let mut keys: Vec<String> = platform.with(|s| s.log.newest()).into_keys().collect();
+    keys.sort();
+    keys
+}
+
+#[test]
+fn records_of_instances_that_are_gone_are_removed_once_they_are_old() {
+    let platform = platform(&Clock::manual(START));
+    for key in ["instance/edge-0", "instance/edge-9", "instance/edge-9/1", "instance/edge-19", "b"]
+    {
+        platform.append(key, "1");
+    }
+    let mut instance = Instance::new(&platform, 3);
+    platform.append("instance/edge-8", "1");
+    instance.clock.advance(RETENTION - 20_000);
+    instance.run(1_000);
+    assert_eq!(keys(&platform).len(), 6);
+    platform.append("instance/edge-19", "2");
+    instance.run(20_000);
+    let kept = ["b", "instance/edge-0", "instance/edge-19", "instance/edge-8"];
+    assert_eq!(keys(&platform), kept);
+    instance.clock.advance(RETENTION);
+    instance.run(1_000);
+    assert_eq!(keys(&platform), ["b", "instance/edge-0"]);
+    let calls = platform.with(|s| (s.full_reads.len(), s.reads.len(), s.writes.len()));
+    assert_eq!(calls, (3, 0, 2));
+}
+
+#[test]
+fn only_the_instance_of_the_lowest_name_removes_records() {
+    let platform = platform(&Clock::manual(START));
+    platform.append("instance/gone", "1");
+    let mut instance = Instance::new(&platform, 3);
+    let addr = common::free_addr();
+    let names = ["edge-0", "edge--1"].map(|name| (name.to_owned(), addr));
+    instance.shared.set_instances(names.to_vec());
+    for _ in 0..3 {
+        instance.clock.advance(RETENTION);
+        instance.run(1_000);
+    }
+    assert_eq!(keys(&platform), ["instance/gone"]);
+    assert_eq!(platform.with(|s| s.full_reads.len()), 1);
+}
+
+#[test]
+fn removals_are_bounded_and_refused_ones_are_repeated_at_the_next_look() {
+    let platform = platform(&Clock::manual(START));
+    (0..2 * MAX_REMOVALS).for_each(|i| platform.append(&format!("instance/gone-{i}"), "1"));
+    let mut instance = Instance::new(&platform, 3);
+    let mut left = Vec::new();
+    for round in 0..4 {
+        instance.clock.advance(RETENTION);
+        instance.run(500);
+        if round == 1 {
+            // The look succeeds, the removal doesn't.
+            platform.set_fault(Fault::None);
+        }
+        left.push(keys(&platform).len());
+        if round == 0 {
+            let failing = Arc::clone(&platform);
+            platform.set_hook(Box::new(move || failing.set_fault(Fault::Refuses)));
+        }
+    }
+    assert_eq!(left, [MAX_REMOVALS, MAX_REMOVALS, 0, 0]);
+}
+
 #[test]
 fn updates_that_were_not_taken_add_up() {
     let mut instance = Instance::alone();
@@ -809,7 +895,7 @@
     let platform = platform(&clock);
     let shared = shared_state(&clock, 1);
     let source: Arc<dyn Source> = platform.clone();
-    ledger::start(&source, &shared, &clock, &Arc::default(), BUDGET);
+    ledger::start(ME, &source, &shared, &clock, &Arc::default(), BUDGET);
     let read = |number: u64| {
         let mut records = Vec::new();
         common::until("the read ends", || {
