--- a/src/policy/origin/base.rs
+++ b/src/policy/origin/base.rs
@@ -21,6 +21,7 @@
     /// The base on record.
     software: Option<Software>,
     is_open: bool,
+    generation: u64,
     /// The base was open in a read that began when it was listed, and has been listed since.
     verified: bool,
     is_listed: bool,
@@ -116,28 +117,36 @@
             return;
         };
         match proposal {
-            Proposal::Close(v) => self.set(now, Some(v), false),
-            Proposal::Open(v) => self.set(now, Some(v), true),
+            Proposal::Close(v) if self.software == Some(v) => {
+                self.set(now, Some(v), false, self.generation);
+            }
+            Proposal::Close(_) => {}
+            Proposal::Open(v) => self.set(now, Some(v), true, self.generation + 1),
         }
     }
 
-    fn set(&mut self, now: Millis, software: Option<Software>, is_open: bool) {
-        if (software, is_open) == (self.software, self.is_open) {
+    fn set(&mut self, now: Millis, software: Option<Software>, is_open: bool, generation: u64) {
+        if (software, is_open, generation) == (self.software, self.is_open, self.generation) {
             return;
         }
-        (self.software, self.is_open) = (software, is_open);
+        (self.software, self.is_open, self.generation) = (software, is_open, generation);
+        self.proposed = None;
         (self.verified, self.read) = (false, None);
         self.was_set |= software.is_some();
         self.is_listed = software.is_some() && self.alone.map(|(v, _)| v) == software;
         self.closed_since = (!is_open).then_some(now);
     }
 
-    /// Takes the marker that is on record; `None` if there is none that counts.
-    pub(super) fn learn(&mut self, now: Millis, marker: Option<&Marker>) {
-        match marker {
-            Some(m) => self.set(now, m.base, m.open),
-            None => self.set(now, None, false),
-        }
+    /// Takes what another instance has on record.
+    pub(super) fn learn(&mut self, now: Millis, marker: &Marker) {
+        let own = self.software.map(|_| self.current());
+        let merged = own.map_or(marker.clone(), |own| own.merge(marker));
+        self.set(now, merged.base, merged.open, merged.generation);
+    }
+
+    /// Forgets the base: its record may be lost.
+    pub(super) fn forget(&mut self, now: Millis) {
+        self.set(now, None, false, self.generation);
     }
 
     /// The base at which streams may begin without a record.
@@ -155,14 +164,20 @@
         self.is_listed
     }
 
-    /// The marker that is to be on record in an era.
-    pub(super) fn marker(&self, era: u64) -> Marker {
-        let (base, open) = match self.proposed {
-            Some((Proposal::Close(v), _)) => (Some(v), false),
-            Some((Proposal::Open(v), _)) => (Some(v), true),
-            None => (self.software, self.is_open),
-        };
-        Marker { base, open, era }
+    fn current(&self) -> Marker {
+        Marker { base: self.software, open: self.is_open, generation: self.generation }
+    }
+
+    /// What is to be on record; `None` without a base.
+    pub(super) fn marker(&self) -> Option<Marker> {
+        let known = self.software.map(|_| self.current());
+        match self.proposed {
+            Some((Proposal::Close(_), _)) => known.map(|m| Marker { open: false, ..m }),
+            Some((Proposal::Open(v), _)) => {
+                Some(Marker { base: Some(v), open: true, generation: self.generation + 1 })
+            }
+            None => known,
+        }
     }
 
     /// True if only one version is listed.
--- a/src/policy/origin/mod.rs
+++ b/src/policy/origin/mod.rs
@@ -20,7 +20,6 @@
 use crate::adapter::clock::Millis;
 use crate::adapter::codec;
 use base::Base;
-use record::Key;
 
 /// Longest time for which a stream may be resumed, in milliseconds, whatever its caller states.
 pub const MAX_LIFETIME: u64 = 600_000;
@@ -119,24 +118,26 @@
     me: String,
     /// The fleet starts for the first time: no stream is older than this process.
     first_start: bool,
-    /// The endpoint list of this instance may be relied on.
-    list_current: bool,
+    /// Time until which the endpoint list of this instance may be relied on.
+    list_until: Millis,
     /// Records that could not be decoded, by key and hash of the value.
     malformed: IndexSet<(String, u64)>,
     /// Era of the platform whose records were read; `None` before that.
     era: Option<u64>,
     /// Time from which records that a restored platform has lost don't matter any more.
     whole_from: Millis,
-    /// Time for which a stream may last, in milliseconds.
+    /// Time for which a stream may last, in milliseconds, by the routes of the whole fleet, and by those
+    /// that this instance has known.
     lifetime: u64,
+    route_lifetime: u64,
     /// Streams that this instance began, also before its last start.
     own: IndexMap<Attempt, OwnStream>,
     /// Streams of other instances, by the keys of their records.
     learned: IndexMap<String, IndexMap<Attempt, Stream>>,
     bases: IndexMap<String, Base>,
     changes: Changes,
-    /// Keys that are to be written.
-    unwritten: IndexSet<Key>,
+    /// The record of this instance is to be written.
+    is_unwritten: bool,
 }
 
 /// Numbers of changes of the records.
@@ -156,9 +157,14 @@
 
     /// Takes a time for which a stream may last, the timeout of a route, in milliseconds. Only longer ones
     /// count, as earlier streams may still run. Streams whose callers wait longer are always recorded.
-    pub fn extend_lifetime(&mut self, timeout: u64) {
+    pub fn add_timeout(&mut self, timeout: u64) {
         let lifetime = timeout.min(MAX_LIFETIME) + LIFETIME_MARGIN;
-        self.lifetime = self.lifetime.max(lifetime);
+        self.route_lifetime = self.route_lifetime.max(lifetime);
+        self.extend_lifetime(self.route_lifetime);
+    }
+
+    fn extend_lifetime(&mut self, lifetime: u64) {
+        self.lifetime = self.lifetime.max(lifetime.min(MAX_LIFETIME));
     }
 
     /// Takes the software versions that are listed for a service. `informed` is true if the list is up to
@@ -177,10 +183,10 @@
         base.observe(now, listed, informed);
     }
 
-    /// Sets whether the endpoint list of this instance may be relied on: if not, another instance may
-    /// have seen the base leave.
-    pub fn set_list_current(&mut self, current: bool) {
-        self.list_current = current;
+    /// Sets the time until which the endpoint list of this instance may be relied on: later, other
+    /// instances may have seen the base leave.
+    pub fn rely_on_list(&mut self, until: Millis) {
+        self.list_until = until;
     }
 
     /// True if the records have to be read before streams begin at the base, or before it changes.
@@ -212,7 +218,7 @@
         }
         for (service, proposal) in due {
             tracing::info!(service, ?proposal, "origin: base version of a service changes");
-            let change = self.touch(Key::Service(service.clone()));
+            let change = self.touch();
             if let Some(base) = self.bases.get_mut(&service) {
                 base.propose(proposal, change);
             }
@@ -222,7 +228,7 @@
     /// The version of a service at which streams begin without a record.
     pub fn base(&self, now: Millis, service: &str) -> Option<Software> {
         let base = self.bases.get(service)?;
-        base.trusted().filter(|_| now >= self.whole_from && self.list_current)
+        base.trusted().filter(|_| now >= self.whole_from && now < self.list_until)
     }
 
     /// The version of a service that began the streams that are on no record.
@@ -268,7 +274,7 @@
             let was_recorded = known.is_some_and(|o| o.recorded);
             let until = until.saturating_add(LIFETIME_MARGIN).min(now + MAX_LIFETIME);
             let stream = Stream { software: Some(software), until };
-            let change = if recorded || was_recorded { self.touch(Key::Instance) } else { 0 };
+            let change = if recorded || was_recorded { self.touch() } else { 0 };
             let own = OwnStream { service: service.to_owned(), stream, recorded, change };
             self.own.insert(attempt, own);
             if was_recorded && self.is_write_late(now) {
@@ -292,13 +298,33 @@
         if recorded && !is_listed { Readiness::Ready } else { Readiness::Stuck }
     }
 
+    /// Puts a stream that goes on here on record, for as long as the caller of this attempt waits.
+    pub fn adopt(
+        &mut self,
+        now: Millis,
+        service: &str,
+        attempt: &str,
+        software: Software,
+        until: Millis,
+    ) {
+        let until = until.saturating_add(LIFETIME_MARGIN).min(now + MAX_LIFETIME);
+        let key = Attempt::of(attempt);
+        if self.own.get(&key).is_some_and(|o| o.stream.until >= until) {
+            return;
+        }
+        let recorded = self.base(now, service) != Some(software);
+        let change = if recorded { self.touch() } else { 0 };
+        let stream = Stream { software: Some(software), until };
+        self.own.insert(key, OwnStream { service: service.to_owned(), stream, recorded, change });
+    }
+
     /// Marks the stream of an attempt as begun at a version that nobody knows: its endpoint has turned out
     /// to be another incarnation than the one that it was sent to.
     pub fn doubt(&mut self, attempt: &str) {
         if let Some(own) = self.own.get_mut(&Attempt::of(attempt)) {
             own.stream.software = None;
             own.recorded = true;
-            self.touch(Key::Instance);
+            self.touch();
         }
     }
 
@@ -344,52 +370,48 @@
 
     /// Takes a record that was read. Returns false if it can't be decoded.
     pub fn learn(&mut self, now: Millis, key: &str, value: &[u8]) -> bool {
-        match Key::parse(key, &self.me) {
-            Some(Key::Service(name)) => self.learn_marker(now, &name, value),
-            Some(Key::Instance) => self.learn_own(now, value),
-            Some(Key::Other) => self.learn_others(now, key, value),
-            None => false,
+        if !record::is_key(key) {
+            return false;
         }
-    }
-
-    fn learn_marker(&mut self, now: Millis, service: &str, value: &[u8]) -> bool {
-        let marker = codec::unpack::<Marker>(value).ok();
-        let counts = marker.as_ref().filter(|m| Some(m.era) == self.era);
-        self.bases.entry(service.to_owned()).or_default().learn(now, counts);
-        marker.is_some() || value.is_empty()
+        let own = key == record::key_of(&self.me);
+        let record = StreamsRecord::decode(value);
+        let count = record.iter().flat_map(StreamsRecord::streams).take(MAX_LEARNED + 1).count();
+        let Some(record) = record.filter(|_| count <= MAX_LEARNED) else {
+            // A stream that is on no record that can be read may have begun anywhere.
+            if self.malformed.insert((key.to_owned(), xxh3_64(value))) {
+                self.whole_from = now + self.lifetime;
+            }
+            return false;
+        };
+        self.extend_lifetime(record.lifetime);
+        if Some(record.era) == self.era {
+            for (service, marker) in &record.bases {
+                self.bases.entry(service.clone()).or_default().learn(now, marker);
+            }
+        }
+        match own {
+            true => self.learn_own(now, &record),
+            false => self.learn_others(now, key, &record),
+        }
+        true
     }
 
     /// Takes the streams that this instance had on record before its last start.
-    fn learn_own(&mut self, now: Millis, value: &[u8]) -> bool {
-        let Some(record) = StreamsRecord::decode(value) else { return false };
+    fn learn_own(&mut self, now: Millis, record: &StreamsRecord) {
         for (service, software, attempt, remaining) in record.streams() {
             let stream = Stream { software, until: now + remaining.min(MAX_LIFETIME) };
             let service = service.to_owned();
             let old = OwnStream { service, stream, recorded: true, change: 0 };
             self.own.entry(attempt).or_insert(old);
         }
-        true
     }
 
-    /// Takes the streams that another instance has on record now. If they can't be kept, a stream that is
-    /// on no record here may have begun anywhere.
-    fn learn_others(&mut self, now: Millis, key: &str, value: &[u8]) -> bool {
-        let record = StreamsRecord::decode(value);
-        let all = record.iter().flat_map(StreamsRecord::streams);
-        let streams: IndexMap<Attempt, Stream> = all
-            .take(MAX_LEARNED + 1)
-            .map(|(_, software, attempt, remaining)| {
-                (attempt, Stream { software, until: now + remaining.min(MAX_LIFETIME) })
-            })
-            .collect();
-        if record.is_none() || streams.len() > MAX_LEARNED {
-            if self.malformed.insert((key.to_owned(), xxh3_64(value))) {
-                self.whole_from = now + self.lifetime;
-            }
-            return false;
-        }
-        self.learned.insert(key.to_owned(), streams);
-        true
+    /// Takes the streams that another instance has on record now.
+    fn learn_others(&mut self, now: Millis, key: &str, record: &StreamsRecord) {
+        let streams = record.streams().map(|(_, software, attempt, remaining)| {
+            (attempt, Stream { software, until: now + remaining.min(MAX_LIFETIME) })
+        });
+        self.learned.insert(key.to_owned(), streams.collect());
     }
 
     /// Takes the era of the platform whose records are being read, before they are learned. In a later
@@ -398,46 +420,42 @@
         if self.era.is_some_and(|before| before != era) {
             tracing::info!(era, "origin: records may be lost, the platform was restored");
             self.whole_from = now + self.lifetime;
-            self.bases.values_mut().for_each(|b| b.learn(now, None));
-            self.touch(Key::Instance);
+            self.bases.values_mut().for_each(|b| b.forget(now));
+            self.touch();
         }
         self.era = Some(era);
     }
 
-    fn touch(&mut self, key: Key) -> u64 {
-        self.unwritten.insert(key);
+    fn touch(&mut self) -> u64 {
+        self.is_unwritten = true;
         self.changes.made += 1;
         self.changes.made
     }
 
     /// True if something is to be written.
     pub fn has_writes(&self) -> bool {
-        self.era.is_some() && !self.unwritten.is_empty()
+        self.era.is_some() && self.is_unwritten
     }
 
-    /// Keys and values to write now; none before records were read.
-    pub fn take_writes(&mut self, now: Millis) -> Vec<(String, Vec<u8>)> {
-        if self.era.is_none() || self.unwritten.is_empty() {
-            return Vec::new();
-        }
-        let keys = std::mem::take(&mut self.unwritten);
-        keys.iter().map(|key| (key.name(&self.me), self.value(now, key))).collect()
-    }
-
-    fn value(&self, now: Millis, key: &Key) -> Vec<u8> {
-        match key {
-            Key::Service(name) => {
-                let era = self.era.unwrap_or_default();
-                let marker = self.bases.get(name).map(|b| b.marker(era));
-                marker.map(|m| codec::pack_positional(&m)).unwrap_or_default()
-            }
-            Key::Instance | Key::Other => codec::pack_positional(&self.streams_record(now)),
+    /// Key and value to write now; none before records were read.
+    pub fn take_write(&mut self, now: Millis) -> Option<(String, Vec<u8>)> {
+        if !self.has_writes() {
+            return None;
         }
+        self.is_unwritten = false;
+        let record = codec::pack_positional(&self.streams_record(now));
+        Some((record::key_of(&self.me), record))
     }
 
-    /// The streams of this instance that are to be on record.
+    /// The bases, and the streams of this instance that are to be on record.
     fn streams_record(&self, now: Millis) -> StreamsRecord {
-        let mut record = StreamsRecord::default();
+        let bases = self.bases.iter();
+        let mut record = StreamsRecord {
+            era: self.era.unwrap_or_default(),
+            lifetime: self.route_lifetime,
+            bases: bases.filter_map(|(name, b)| Some((name.clone(), b.marker()?))).collect(),
+            ..StreamsRecord::default()
+        };
         for (attempt, own) in self.own.iter().filter(|(_, o)| o.recorded && o.stream.until > now) {
             let Stream { software, until } = own.stream;
             record.add(&own.service, software, *attempt, until - now);
@@ -481,7 +499,6 @@
     pub fn expire(&mut self, now: Millis) {
         self.own.retain(|_, own| own.stream.until > now);
         self.learned.values_mut().for_each(|all| all.retain(|_, stream| stream.until > now));
-        self.learned.retain(|_, all| !all.is_empty());
     }
 
     /// Numbers of streams that are kept: own ones and others'.
--- a/src/policy/origin/record.rs
+++ b/src/policy/origin/record.rs
@@ -1,42 +1,21 @@
-//! Records of the fleet: the streams of each instance, and the base version of each service.
+//! Records of the instances: the streams that they began, and the base versions that they know.
 
 use indexmap::IndexMap;
 
 use super::{Attempt, Software};
 use crate::adapter::codec;
 
-/// Start of the keys of instances and of services.
+/// Start of the keys of instances.
 const INSTANCE: &str = "instance/";
-const SERVICE: &str = "service/";
 
-/// Key of a record.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub(super) enum Key {
-    /// Streams of this instance.
-    Instance,
-    /// Streams of another instance.
-    Other,
-    /// The base of a service.
-    Service(String),
+/// Key of an instance's record.
+pub(super) fn key_of(instance: &str) -> String {
+    format!("{INSTANCE}{instance}")
 }
 
-impl Key {
-    /// Parses a key as the instance `me` sees it.
-    pub(super) fn parse(key: &str, me: &str) -> Option<Self> {
-        if let Some(name) = key.strip_prefix(SERVICE) {
-            return Some(Self::Service(name.to_owned()));
-        }
-        let name = key.strip_prefix(INSTANCE)?;
-        Some(if name == me { Self::Instance } else { Self::Other })
-    }
-
-    /// The key as it is written by the instance `me`.
-    pub(super) fn name(&self, me: &str) -> String {
-        match self {
-            Self::Service(name) => format!("{SERVICE}{name}"),
-            Self::Instance | Self::Other => format!("{INSTANCE}{me}"),
-        }
-    }
+/// True for the key of an instance's record.
+pub(super) fn is_key(key: &str) -> bool {
+    key.starts_with(INSTANCE)
 }
 
 /// Streams that began at one software version: attempts and the time for which their callers wait, in
@@ -44,26 +23,45 @@
 type Began = Vec<(Attempt, u32)>;
 
 data! {
-    /// The base version of a service.
+    /// What an instance knows of the base version of a service.
     pub struct Marker {
-        /// That version; `None` if there is none.
+        /// That version; `None` if records contradict each other.
         pub base: Option<Software>,
         /// Streams may begin at it without a record.
         pub open: bool,
-        /// Era of the platform in which it was written: one that was restored from a copy may hold an
-        /// older one.
-        pub era: u64,
+        /// Number of bases before it. The highest counts, and of one generation that which is closed.
+        pub generation: u64,
     }
 
-    /// Streams that an instance began, by service and software version. Those without a version can't
-    /// be resumed.
+    /// Record of an instance: streams that it began, and what it knows of the bases. Streams without a
+    /// version can't be resumed.
     #[derive(Default)]
     pub struct StreamsRecord {
+        /// Era of the platform in which it was written: bases of an earlier one don't count.
+        pub era: u64,
+        /// Time for which a stream may last, in milliseconds, by the routes that the instance has known.
+        pub lifetime: u64,
+        /// Bases by service.
+        pub bases: IndexMap<String, Marker>,
         /// Streams by service and version.
         pub services: IndexMap<String, IndexMap<Option<Software>, Began>>,
     }
 }
 
+impl Marker {
+    /// Combines two records of one service.
+    pub(super) fn merge(self, other: &Self) -> Self {
+        if self.generation != other.generation {
+            return if self.generation > other.generation { self } else { other.clone() };
+        }
+        Self {
+            base: self.base.filter(|_| self.base == other.base),
+            open: self.open && other.open && self.base == other.base,
+            generation: self.generation,
+        }
+    }
+}
+
 impl StreamsRecord {
     /// Decodes a record; one that was removed is empty. `None` if it is malformed.
     pub(super) fn decode(value: &[u8]) -> Option<Self> {
--- a/src/relay/driver/origins.rs
+++ b/src/relay/driver/origins.rs
@@ -65,6 +65,10 @@
         exchange.lineage = Lineage::Fixed;
         exchange.requirements.software = software;
         let (id, service) = (exchange.id.clone(), exchange.service.clone());
+        let until = exchange.waits_until;
+        if let (Some(software), Some(attempt)) = (software, &attempt) {
+            self.origins.adopt(self.clock.now(), &service, attempt, software, until);
+        }
         let serves = software.is_some_and(|v| self.serves(&service, v));
         tracing::info!(
             id,
@@ -239,8 +243,10 @@
         for (name, pool) in &self.pools {
             self.origins.observe(now, name, &pool.balancer.listed_versions(), informed);
         }
-        let current = self.list_age() < MAX_TRUSTED_AGE || self.is_current(now);
-        self.origins.set_list_current(current);
+        let synced_at = self.shared.replica(Topic::Endpoints).synced_at();
+        let current = self.peers.hears_most(now) && self.have_same_list(now);
+        let relied = if current { synced_at.max(now) } else { synced_at };
+        self.origins.rely_on_list(relied + MAX_TRUSTED_AGE);
         if self.origins.needs_read(now) {
             let number = self.shared.ledger().request_read();
             self.origins.set_reading(now, number);
@@ -253,22 +259,21 @@
         self.list_age() < MAX_LIST_AGE
             && !self.shared.is_disconnected()
             && self.peers.is_complete(now)
+            && self.peers.hears_most(now)
             && self.peers.members(now).all(|p| !p.heartbeat.disconnected)
     }
 
-    /// True if all instances have the same endpoint list.
-    fn is_current(&self, now: Millis) -> bool {
+    /// True if all instances that this one hears have the same endpoint list.
+    fn have_same_list(&self, now: Millis) -> bool {
         let end = self.shared.replica(Topic::Endpoints).end();
-        self.peers.is_complete(now)
-            && self.peers.members(now).all(|p| p.heartbeat.ends.1 == end)
-            && self.peers.remote(now).all(|p| p.heartbeat.ends.1 == end)
+        self.peers.members(now).chain(self.peers.remote(now)).all(|p| p.heartbeat.ends.1 == end)
     }
 
     /// Takes the timeouts of a configuration: a stream may last for the longest.
     pub(super) fn extend_lifetime(&mut self, table: &RoutingTable) {
         let routes = table.routes.values().flatten();
         let resumable = routes.filter(|r| r.kind == RouteKind::Resumable);
-        resumable.for_each(|r| self.origins.extend_lifetime(r.timeout));
+        resumable.for_each(|r| self.origins.add_timeout(r.timeout));
     }
 
     /// Applies records that were read, and what has been written.
@@ -302,7 +307,7 @@
             .filter(|(_, c)| c.exchange.as_ref().is_some_and(|e| is_done(&e.lineage)))
             .map(|(index, _)| index)
             .collect();
-        let current = self.is_current(now);
+        let current = self.peers.hears_all(now) && self.have_same_list(now);
         for index in done {
             let Some(exchange) = self.callers[index].exchange.as_ref() else { continue };
             let attempt = exchange.resume.as_ref().and_then(|r| r.attempt.as_deref());
@@ -325,11 +330,9 @@
             return self.timers.set(self.flushed_at + FLUSH_INTERVAL, Owner::Ledger);
         }
         let ledger = self.shared.ledger().clone();
-        let writes = self.origins.take_writes(now).into_iter();
-        let number = writes.map(|(key, value)| ledger.put(&key, value)).max();
-        if let Some(number) = number {
+        if let Some((key, value)) = self.origins.take_write(now) {
             self.flushed_at = now;
-            self.origins.set_submitted(now, number);
+            self.origins.set_submitted(now, ledger.put(&key, value));
         }
     }
 
--- a/src/relay/gossip.rs
+++ b/src/relay/gossip.rs
@@ -574,6 +574,19 @@
         }
     }
 
+    /// True if this instance hears from all instances that it knows.
+    pub fn hears_all(&self, now: Millis) -> bool {
+        self.is_complete(now) && (self.groups.0 > 1 || self.all.len() == self.alive(now).count())
+    }
+
+    /// True if this instance hears from most instances that it knows: no other part of the fleet does.
+    pub fn hears_most(&self, now: Millis) -> bool {
+        match self.groups.0 {
+            1 => 2 * (1 + self.alive(now).count()) > 1 + self.all.len(),
+            _ => self.is_complete(now),
+        }
+    }
+
     /// What this instance knows of those that share limits with it. `waits` is true if it has had
     /// requests in its queue for a while.
     pub fn limit_fleet(&self, now: Millis, waits: bool) -> Fleet {
--- a/tests/origin.rs
+++ b/tests/origin.rs
@@ -75,7 +75,7 @@
     fn new(i: usize, first_start: bool, store: bool) -> Self {
         let name = format!("entry-{i}");
         let mut origins = Origins::new(&name, first_start);
-        origins.extend_lifetime(TIMEOUT);
+        origins.add_timeout(TIMEOUT);
         Self {
             name,
             origins,
@@ -218,7 +218,7 @@
     /// Passes the changes of an instance on to its writer; the write that is under way.
     fn submit(&mut self, i: usize) -> Append {
         let (now, node) = self.node(i);
-        for (key, value) in node.origins.take_writes(now) {
+        for (key, value) in node.origins.take_write(now) {
             node.changes += 1;
             node.board.insert(key, (node.changes, value));
             node.origins.set_submitted(now, node.changes);
@@ -408,7 +408,7 @@
 
 /// An attempt that was on record at v2 is sent to the base.
 fn withdrawn_record(w: &mut World) {
-    w.nodes[0].origins.extend_lifetime(TIMEOUT);
+    w.nodes[0].origins.add_timeout(TIMEOUT);
     assert_eq!(w.begin(0, "a", "v2"), Readiness::Ready);
     assert_eq!(w.prepare(0, "a", "v1"), Readiness::Wait, "v2 is still on record");
     assert_eq!(w.begin(0, "a", "v1"), Readiness::Ready);
@@ -859,7 +859,7 @@
 
 /// The longest timeout is shortened, and all instances start again.
 fn timeout_shortened(w: &mut World) {
-    (0..3).for_each(|i| w.nodes[i].origins.extend_lifetime(120_000));
+    (0..3).for_each(|i| w.nodes[i].origins.add_timeout(120_000));
     assert_eq!(w.prepare_until(0, "a", "v1", 120_000), Readiness::Ready);
     w.began.insert("a".to_owned(), v("v1"));
     (0..3).for_each(|i| w.restart(i));
