Streams: requests that wait for their record hold room at their endpoint

Callers saw many streams placed at one version while others had room: until its record was written, a request that was to begin at a version was counted nowhere, so all that came within one write went to the same endpoint. And each pass over the queue prepared one such request at most, as if its endpoint were full, so records were written late.

Room is reserved at the endpoint while the record is written, reserved anew at each pass over the queue; a request that waits for its record is no miss.

--- a/src/policy/origin/mod.rs
+++ b/src/policy/origin/mod.rs
@@ -298,6 +298,13 @@
         if recorded && !is_listed { Readiness::Ready } else { Readiness::Stuck }
     }
 
+    /// True if an attempt was prepared and its record is being written.
+    pub fn is_recording(&self, now: Millis, attempt: &str) -> bool {
+        let own = self.own.get(&Attempt::of(attempt));
+        let is_unwritten = own.is_some_and(|o| o.change > self.changes.written);
+        is_unwritten && self.era.is_some() && !self.is_write_late(now)
+    }
+
     /// Puts a stream that goes on here on record, for as long as the caller of this attempt waits.
     pub fn adopt(
         &mut self,
--- a/src/policy/place/endpoint.rs
+++ b/src/policy/place/endpoint.rs
@@ -143,6 +143,8 @@
     pub listing: Listing,
     /// Load placed by this instance.
     pub own: Load,
+    /// Load of requests that this instance will send once their record is written.
+    reserved: Load,
     /// Load placed by the other instances.
     pub peers: Load,
     /// What the times of its responses have shown.
@@ -212,13 +214,29 @@
         f64::from(self.total().running).max(self.reported(now))
     }
 
-    /// Load placed by the whole fleet.
+    /// Load placed by the whole fleet, and what is reserved here.
     pub fn total(&self) -> Load {
         let mut total = self.own;
         total.add(self.peers);
+        total.add(self.reserved);
         total
     }
 
+    /// Reserves room for a load.
+    pub fn reserve(&mut self, load: Load) {
+        self.reserved.add(load);
+    }
+
+    /// Gives back reserved room.
+    pub fn unreserve(&mut self, load: Load) {
+        self.reserved.sub(load);
+    }
+
+    /// Gives back all reserved room.
+    pub fn clear_reserved(&mut self) {
+        self.reserved = Load::default();
+    }
+
     /// Running and waiting requests as last reported by the endpoint itself. The report fades, since
     /// the requests in it end and only a further response brings another.
     pub fn reported(&self, now: Millis) -> f64 {
--- a/src/policy/place/mod.rs
+++ b/src/policy/place/mod.rs
@@ -9,6 +9,7 @@
 mod backlog;
 mod capacity;
 mod endpoint;
+mod reserve;
 mod speed;
 
 pub use backlog::{Group, Misses, Queued, send_order};
@@ -840,18 +841,11 @@
 
     /// Records that a request is sent to an endpoint, and adds its load there.
     pub fn start(&mut self, now: Millis, id: &str, needs: &Requirements) -> Placement {
-        let tight = self.profile.is_tight(needs.gap);
-        let mut load = Load {
-            running: 1,
-            prefill: 0,
-            memory: needs.prompt + needs.output / 2,
-            tight: u32::from(tight),
-        };
+        let load = self.load_of(now, id, needs);
         let mut uncached = Uncached::default();
         let (mut work, mut factor) = (0, 1.0);
         if let Some(e) = self.endpoints.get_mut(id) {
             uncached = e.uncached(now, needs);
-            load.prefill = uncached.total();
             work = e.total().prefill + load.prefill;
             e.mark_cached(now, needs.shared().iter().map(|(id, _)| *id));
             e.own.add(load);
--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -33,6 +33,8 @@
     Full(Load, Block),
     /// Not sent for the given reason.
     Unsent(&'static str),
+    /// It is sent once its record is written.
+    Recording,
     /// The request has been answered instead.
     Ended,
 }
@@ -181,6 +183,7 @@
             SendOutcome::Sent | SendOutcome::Ended => {}
             SendOutcome::Full(least, block) => self.enqueue(index, block.name(), least),
             SendOutcome::Unsent(why) => self.enqueue(index, why, Load::default()),
+            SendOutcome::Recording => self.enqueue(index, "not on record", Load::default()),
         }
     }
 
@@ -306,7 +309,7 @@
     pub(super) fn drain_queue(&mut self, now: Millis) {
         if self.queue.is_empty() {
             self.waiting_since = None;
-            return;
+            return self.reserve_all();
         }
         self.waiting_since.get_or_insert(now);
         let interval = if self.load_changed { DRAIN_MIN_MS } else { DRAIN_MAX_MS };
@@ -317,6 +320,7 @@
         self.drained_at = now;
         self.load_changed = false;
         self.note_contention(now);
+        self.reserve_all();
         let mut misses = Misses::default();
         for index in self.queue_order(now).into_iter().map(|e| e.queued.index) {
             let Some(exchange) = self.callers.get(index).and_then(|c| c.exchange.as_ref()) else {
@@ -327,7 +331,7 @@
             if self.lost_version(index) {
                 self.end_request(index, RefuseReason::NoVersion);
             } else if misses.allow(&group)
-                && !matches!(self.try_send(index), SendOutcome::Sent | SendOutcome::Ended)
+                && matches!(self.try_send(index), SendOutcome::Full(..) | SendOutcome::Unsent(_))
             {
                 misses.record(group);
             }
@@ -347,7 +351,11 @@
     /// Sends a request if an endpoint has capacity and a connection to it is available.
     fn try_send(&mut self, index: usize) -> SendOutcome {
         let now = self.clock.now();
+        if self.is_recording(now, index) {
+            return SendOutcome::Recording;
+        }
         self.restrict_versions(index);
+        self.unreserve(index);
         let Some(exchange) = self.callers[index].exchange.as_ref() else {
             return SendOutcome::Sent;
         };
@@ -373,7 +381,10 @@
         };
         match self.prepare_origin(index, &endpoint) {
             Readiness::Ready => {}
-            Readiness::Wait => return SendOutcome::Unsent("not on record"),
+            Readiness::Wait => {
+                self.reserve(index, &endpoint);
+                return SendOutcome::Recording;
+            }
             Readiness::Stuck => {
                 self.end_request(index, RefuseReason::NoRecord);
                 return SendOutcome::Ended;
--- a/src/relay/driver/mod.rs
+++ b/src/relay/driver/mod.rs
@@ -192,6 +192,8 @@
     shed_log: ShedLog,
     /// Software versions that began streams.
     origins: Origins,
+    /// Room is reserved for requests whose record is being written.
+    has_reserved: bool,
     /// Time at which records were last passed on to be written.
     flushed_at: Millis,
     /// Requests that began to run, for usage reports.
@@ -275,6 +277,7 @@
             compared_until: 0,
             shed_log: ShedLog::default(),
             origins,
+            has_reserved: false,
             flushed_at: 0,
             counter: Counter::default(),
             informed: Vec::new(),
--- a/src/relay/driver/origins.rs
+++ b/src/relay/driver/origins.rs
@@ -170,6 +170,48 @@
         readiness
     }
 
+    /// True if a request is sent as soon as its record is written.
+    pub(super) fn is_recording(&self, now: Millis, index: usize) -> bool {
+        let Some(exchange) = self.callers[index].exchange.as_ref() else { return false };
+        exchange.lineage == Lineage::Recording && self.origins.is_recording(now, &exchange.id)
+    }
+
+    /// Reserves room at an endpoint for a request whose record is being written.
+    pub(super) fn reserve(&mut self, index: usize, endpoint: &str) {
+        let now = self.clock.now();
+        let Some(exchange) = self.callers[index].exchange.as_mut() else { return };
+        let Some(pool) = self.pools.get_mut(&exchange.service) else { return };
+        let load = pool.balancer.reserve_for(now, endpoint, &exchange.requirements);
+        exchange.reserved = Some((endpoint.to_owned(), load));
+        self.has_reserved = true;
+    }
+
+    /// Gives back the room that is reserved for a request.
+    pub(super) fn unreserve(&mut self, index: usize) {
+        let Some(exchange) = self.callers[index].exchange.as_mut() else { return };
+        let Some((endpoint, load)) = exchange.reserved.take() else { return };
+        if let Some(pool) = self.pools.get_mut(&exchange.service) {
+            pool.balancer.unreserve(&endpoint, load);
+        }
+    }
+
+    /// Reserves room anew for all queued requests: some have left the queue since the last time.
+    pub(super) fn reserve_all(&mut self) {
+        if !std::mem::take(&mut self.has_reserved) {
+            return;
+        }
+        self.pools.values_mut().for_each(|p| p.balancer.clear_reserved());
+        for (_, index) in self.queue.ordered() {
+            let exchange = self.callers.get(index).and_then(|c| c.exchange.as_ref());
+            let Some(exchange) = exchange else { continue };
+            let Some((endpoint, load)) = &exchange.reserved else { continue };
+            if let Some(pool) = self.pools.get_mut(&exchange.service) {
+                pool.balancer.reserve(endpoint, *load);
+                self.has_reserved = true;
+            }
+        }
+    }
+
     /// Frees a request that waits for its record to begin at another version.
     pub(super) fn free_version(&mut self, index: usize) {
         if let Some(exchange) = self.callers[index].exchange.as_mut()
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -13,7 +13,7 @@
 use crate::adapter::clock::Millis;
 use crate::policy::fair;
 use crate::policy::origin::Software;
-use crate::policy::place::{Block, Placement, Requirements};
+use crate::policy::place::{Block, Load, Placement, Requirements};
 use crate::policy::suspect::{Content, segment_content};
 use crate::wire::{self, Head};
 
@@ -129,6 +129,8 @@
     pub(super) lineage: Lineage,
     /// Software version and incarnation of the endpoint that it was sent to, until the first event.
     pub(super) sent_to: Option<(Software, u32)>,
+    /// Room that is reserved for it at an endpoint while its record is written.
+    pub(super) reserved: Option<(String, Load)>,
     /// Time until which its caller waits, in further attempts too.
     pub(super) waits_until: Millis,
     pub(super) splitter: Splitter,
@@ -182,6 +184,7 @@
             resume: None,
             lineage: Lineage::Free,
             sent_to: None,
+            reserved: None,
             waits_until: arrived.saturating_add(waits),
             splitter: Splitter::new(last),
             streaming: false,
