Streams: a caller that names no attempt is served where the records tell its version

What isn't on record began at the base; so if a read shows a base, and no stream of the service that began at another version, any stream began at the base. Else it is refused as before.

--- a/src/policy/origin/mod.rs
+++ b/src/policy/origin/mod.rs
@@ -134,6 +134,8 @@
     own: IndexMap<Attempt, OwnStream>,
     /// Streams of other instances, by the keys of their records.
     learned: IndexMap<String, IndexMap<Attempt, Stream>>,
+    /// Services and versions of streams on record, and the time until which the last caller waits.
+    versions: IndexMap<(String, Option<Software>), Millis>,
     bases: IndexMap<String, Base>,
     changes: Changes,
     /// The record of this instance is to be written.
@@ -275,6 +277,9 @@
             let until = until.saturating_add(LIFETIME_MARGIN).min(now + MAX_LIFETIME);
             let stream = Stream { software: Some(software), until };
             let change = if recorded || was_recorded { self.touch() } else { 0 };
+            if recorded {
+                self.note_version(service, stream);
+            }
             let own = OwnStream { service: service.to_owned(), stream, recorded, change };
             self.own.insert(attempt, own);
             if was_recorded && self.is_write_late(now) {
@@ -322,6 +327,7 @@
         let recorded = self.base(now, service) != Some(software);
         let change = if recorded { self.touch() } else { 0 };
         let stream = Stream { software: Some(software), until };
+        self.note_version(service, stream);
         self.own.insert(key, OwnStream { service: service.to_owned(), stream, recorded, change });
     }
 
@@ -331,10 +337,26 @@
         if let Some(own) = self.own.get_mut(&Attempt::of(attempt)) {
             own.stream.software = None;
             own.recorded = true;
+            let (service, stream) = (own.service.clone(), own.stream);
+            self.note_version(&service, stream);
             self.touch();
         }
     }
 
+    /// Notes the version of a stream on record.
+    fn note_version(&mut self, service: &str, stream: Stream) {
+        let until = self.versions.entry((service.to_owned(), stream.software)).or_default();
+        *until = stream.until.max(*until);
+    }
+
+    /// True if a stream of a service that began at another version than `base`, or at one that nobody
+    /// knows, is on record.
+    fn has_other(&self, now: Millis, service: &str, base: Software) -> bool {
+        self.versions.iter().any(|((name, software), until)| {
+            name == service && *software != Some(base) && *until > now
+        })
+    }
+
     /// The version that began the stream of an attempt, if this instance began it.
     pub fn own(&self, now: Millis, attempt: &str) -> Option<Verdict> {
         let own = self.own.get(&Attempt::of(attempt)).map(|o| o.stream);
@@ -353,8 +375,9 @@
     }
 
     /// The version that began the stream of an attempt on a route to a service, after the records were
-    /// read, which is true for `read`, or could not be read. `current` is true if all instances have the
-    /// same endpoint list.
+    /// read, which is true for `read`, or could not be read. Without an attempt, it began at the base if no
+    /// stream of another version is on record. `current` is true if all instances have the same endpoint
+    /// list.
     pub fn verdict(
         &self,
         now: Millis,
@@ -369,7 +392,8 @@
         if let Some(known) = attempt.filter(|_| read).and_then(|a| self.on_record(now, a)) {
             return known;
         }
-        let base = self.unrecorded(now, service).filter(|_| read && attempt.is_some());
+        let base = self.unrecorded(now, service).filter(|_| read);
+        let base = base.filter(|b| attempt.is_some() || !self.has_other(now, service, *b));
         let alone = self.bases.get(service).filter(|_| current);
         let alone = alone.and_then(|b| b.alone(now, self.lifetime));
         base.or(alone).map_or(Verdict::Unknown, Verdict::Began)
@@ -407,6 +431,7 @@
     fn learn_own(&mut self, now: Millis, record: &StreamsRecord) {
         for (service, software, attempt, remaining) in record.streams() {
             let stream = Stream { software, until: now + remaining.min(MAX_LIFETIME) };
+            self.note_version(service, stream);
             let service = service.to_owned();
             let old = OwnStream { service, stream, recorded: true, change: 0 };
             self.own.entry(attempt).or_insert(old);
@@ -415,10 +440,13 @@
 
     /// Takes the streams that another instance has on record now.
     fn learn_others(&mut self, now: Millis, key: &str, record: &StreamsRecord) {
-        let streams = record.streams().map(|(_, software, attempt, remaining)| {
-            (attempt, Stream { software, until: now + remaining.min(MAX_LIFETIME) })
-        });
-        self.learned.insert(key.to_owned(), streams.collect());
+        let mut streams = IndexMap::new();
+        for (service, software, attempt, remaining) in record.streams() {
+            let stream = Stream { software, until: now + remaining.min(MAX_LIFETIME) };
+            self.note_version(service, stream);
+            streams.insert(attempt, stream);
+        }
+        self.learned.insert(key.to_owned(), streams);
     }
 
     /// Takes the era of the platform whose records are being read, before they are learned. In a later
@@ -506,6 +534,7 @@
     pub fn expire(&mut self, now: Millis) {
         self.own.retain(|_, own| own.stream.until > now);
         self.learned.values_mut().for_each(|all| all.retain(|_, stream| stream.until > now));
+        self.versions.retain(|_, until| *until > now);
     }
 
     /// Numbers of streams that are kept: own ones and others'.
