Streams: the time for which one may last is on record

With a longer timeout published and taken back, and all instances started again in between, the base changed before streams under the longer timeout had ended: each instance wrote the longest timeout that its own process had known, and nothing waited for that to be written. shortened_timeout_joined_versions in tests/origin.rs was red.

Now an instance writes the longest that it has learned from any record, and until its own is written, streams that last longer are recorded. An attempt that is on record stays there when it doesn't need to be any more: taking it off would be a second write before it is sent.

--- a/src/policy/origin/mod.rs
+++ b/src/policy/origin/mod.rs
@@ -126,10 +126,11 @@
     era: Option<u64>,
     /// Time from which records that a restored platform has lost don't matter any more.
     whole_from: Millis,
-    /// Time for which a stream may last, in milliseconds, by the routes of the whole fleet, and by those
-    /// that this instance has known.
+    /// Time for which a stream may last, in milliseconds, by all routes that the fleet has known, as far as
+    /// it is on record, and the change that puts the rest there.
     lifetime: u64,
-    route_lifetime: u64,
+    recorded_lifetime: u64,
+    lifetime_change: u64,
     /// Streams that this instance began, also before its last start.
     own: IndexMap<Attempt, OwnStream>,
     /// Streams of other instances, by the keys of their records.
@@ -160,13 +161,14 @@
     /// Takes a time for which a stream may last, the timeout of a route, in milliseconds. Only longer ones
     /// count, as earlier streams may still run. Streams whose callers wait longer are always recorded.
     pub fn add_timeout(&mut self, timeout: u64) {
-        let lifetime = timeout.min(MAX_LIFETIME) + LIFETIME_MARGIN;
-        self.route_lifetime = self.route_lifetime.max(lifetime);
-        self.extend_lifetime(self.route_lifetime);
+        self.extend_lifetime(timeout.min(MAX_LIFETIME) + LIFETIME_MARGIN);
     }
 
     fn extend_lifetime(&mut self, lifetime: u64) {
-        self.lifetime = self.lifetime.max(lifetime.min(MAX_LIFETIME));
+        if lifetime > self.lifetime {
+            self.lifetime = lifetime;
+            self.lifetime_change = self.touch();
+        }
     }
 
     /// Takes the software versions that are listed for a service. `informed` is true if the list is up to
@@ -267,11 +269,11 @@
         until: Millis,
     ) -> Readiness {
         let attempt = Attempt::of(attempt);
-        let is_long = until > now + self.lifetime;
+        let is_long = until > now + self.recorded_lifetime;
         let recorded = is_long || self.base(now, service) != Some(software);
         let known = self.own.get(&attempt);
         let same =
-            known.is_some_and(|o| o.stream.software == Some(software) && o.recorded == recorded);
+            known.is_some_and(|o| o.stream.software == Some(software) && (o.recorded || !recorded));
         if !same {
             let was_recorded = known.is_some_and(|o| o.recorded);
             let until = until.saturating_add(LIFETIME_MARGIN).min(now + MAX_LIFETIME);
@@ -414,7 +416,9 @@
             }
             return false;
         };
-        self.extend_lifetime(record.lifetime);
+        let lifetime = record.lifetime.min(MAX_LIFETIME + LIFETIME_MARGIN);
+        self.recorded_lifetime = self.recorded_lifetime.max(lifetime);
+        self.extend_lifetime(lifetime);
         if Some(record.era) == self.era {
             for (service, marker) in &record.bases {
                 self.bases.entry(service.clone()).or_default().learn(now, marker);
@@ -456,7 +460,8 @@
             tracing::info!(era, "origin: records may be lost, the platform was restored");
             self.whole_from = now + self.lifetime;
             self.bases.values_mut().for_each(|b| b.forget(now));
-            self.touch();
+            self.recorded_lifetime = 0;
+            self.lifetime_change = self.touch();
         }
         self.era = Some(era);
     }
@@ -487,7 +492,7 @@
         let bases = self.bases.iter();
         let mut record = StreamsRecord {
             era: self.era.unwrap_or_default(),
-            lifetime: self.route_lifetime,
+            lifetime: self.lifetime,
             bases: bases.filter_map(|(name, b)| Some((name.clone(), b.marker()?))).collect(),
             ..StreamsRecord::default()
         };
@@ -517,6 +522,9 @@
         {
             self.changes.written = made;
         }
+        if self.changes.written >= self.lifetime_change {
+            self.recorded_lifetime = self.lifetime;
+        }
     }
 
     /// True if streams can't be recorded now.
--- a/src/policy/origin/record.rs
+++ b/src/policy/origin/record.rs
@@ -39,7 +39,7 @@
     pub struct StreamsRecord {
         /// Era of the platform in which it was written: bases of an earlier one don't count.
         pub era: u64,
-        /// Time for which a stream may last, in milliseconds, by the routes that the instance has known.
+        /// Time for which a stream may last, in milliseconds, by all routes that the instance knows of.
         pub lifetime: u64,
         /// Bases by service.
         pub bases: IndexMap<String, Marker>,
