--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::thread;
 
+use super::follower::Follower;
 use super::state::Shared;
 use super::table::RoutingTable;
 use crate::adapter::clock::Clock;
@@ -13,13 +14,6 @@
 use crate::fleet::replica::{Batch, Replica, Topic};
 use crate::policy::place::Listing;
 
-/// Maximum time that a read waits for new records, in milliseconds. It is within the bounds for a
-/// new configuration and for a leaving endpoint to take effect, which must hold even if the
-/// connection has silently failed.
-const READ_WAIT: u64 = 2_500;
-/// Pause after a read that returned changes, in milliseconds, so that records written in quick
-/// succession are read together.
-const BATCH_PAUSE: u64 = 200;
 /// Interval between reads of the instances, in milliseconds. It can be long because a new instance
 /// contacts all others itself.
 const INSTANCES_INTERVAL: u64 = 30_000;
@@ -32,7 +26,7 @@
 /// there because one instance that is connected to the platform again informs all others.
 const MAX_BACKOFF: u64 = 4_000;
 /// Interval between checks of how far peers have read, in milliseconds.
-const CHECK_INTERVAL: u64 = 150;
+pub(super) const CHECK_INTERVAL: u64 = 150;
 /// Number of consecutive checks that must find a peer ahead before its replica is copied: while the
 /// platform answers, this instance's own read is faster.
 const CHECKS_BEFORE_PEER: u32 = 2;
@@ -109,7 +103,15 @@
 ) {
     for topic in [Topic::Config, Topic::Endpoints] {
         let (source, shared, clock) = (Arc::clone(source), Arc::clone(shared), clock.clone());
-        thread::spawn(move || Follower { source, shared, clock, topic }.run());
+        let mut follower = Follower::new(source, shared, clock.clone(), topic);
+        thread::spawn(move || {
+            loop {
+                match follower.turn() {
+                    0 => {}
+                    ms => clock.sleep(ms),
+                }
+            }
+        });
     }
     let (source2, shared2, clock2) = (Arc::clone(source), Arc::clone(shared), clock.clone());
     thread::spawn(move || catch_up(&source2, &shared2, &clock2, &seeds));
@@ -122,83 +124,13 @@
     (BACKOFF.1 * (instances / READERS) as u64).clamp(BACKOFF.1, MAX_BACKOFF)
 }
 
-/// Keeps the replica of one topic up to date.
-struct Follower {
-    source: Arc<dyn Source>,
-    shared: Arc<Shared>,
-    clock: Clock,
-    topic: Topic,
-}
-
-impl Follower {
-    fn run(&self) {
-        let mut backoff = BACKOFF.0;
-        let mut full = true;
-        let mut disconnected = false;
-        // No read from the replica's end has succeeded since records expired.
-        let mut reread = false;
-        loop {
-            let stuck = self.shared.is_stuck(self.topic);
-            if !full && !self.shared.is_reader() && !stuck {
-                self.clock.sleep(CHECK_INTERVAL);
-                continue;
-            }
-            let wait = if disconnected || stuck { 0 } else { READ_WAIT };
-            match self.poll(full, wait) {
-                Ok(changed) => {
-                    if disconnected {
-                        tracing::info!(topic = ?self.topic, "follow: platform regained");
-                    }
-                    reread &= full;
-                    (disconnected, full, backoff) = (false, false, BACKOFF.0);
-                    self.shared.set_disconnected(self.topic, false);
-                    if changed {
-                        publish(self.source.as_ref(), &self.shared, self.topic);
-                        self.clock.sleep(BATCH_PAUSE);
-                    }
-                }
-                Err(SourceError::Expired) => {
-                    tracing::info!(topic = ?self.topic, "follow: records expired, rereading all");
-                    if std::mem::replace(&mut reread, true) {
-                        self.clock.sleep(BACKOFF.0);
-                    }
-                    full = true;
-                }
-                Err(e) => {
-                    self.shared.replica(self.topic).set_failed();
-                    if !disconnected {
-                        tracing::warn!(topic = ?self.topic, "follow: platform lost: {e}");
-                    }
-                    disconnected = true;
-                    self.shared.set_disconnected(self.topic, true);
-                    self.clock.sleep(backoff + rand::random_range(0..=backoff / 2));
-                    let max = max_backoff(self.shared.instances().len());
-                    backoff = (backoff * 2).min(max);
-                }
-            }
-        }
-    }
-
-    /// Reads the topic once: with `full` the newest record of every key, else the records from the
-    /// replica's end on, waiting up to `wait` milliseconds for the first. After a failure `wait`
-    /// must be 0, so that the end of an outage is known before the next record is read. Returns
-    /// true when an entry changed.
-    fn poll(&self, full: bool, wait: u64) -> Result<bool, SourceError> {
-        if full {
-            let batch = self.source.newest(self.topic)?;
-            let mut replica = self.shared.replica(self.topic);
-            let batch = carry_over(self.source.as_ref(), self.topic, &replica, batch);
-            return Ok(replica.reset(self.clock.now(), batch));
-        }
-        let from = self.shared.replica(self.topic).end();
-        let batch = self.source.read(self.topic, from, wait)?;
-        let now = self.clock.now();
-        Ok(self.shared.replica(self.topic).append(now, batch))
-    }
-}
-
 /// Puts newer values of a replica in the place of older ones of a platform that was restored.
-fn carry_over(source: &dyn Source, topic: Topic, replica: &Replica, mut batch: Batch) -> Batch {
+pub(super) fn carry_over(
+    source: &dyn Source,
+    topic: Topic,
+    replica: &Replica,
+    mut batch: Batch,
+) -> Batch {
     replica.carry_over(&mut batch, |key, own, theirs| match topic {
         Topic::Config => {
             let version = |value| source.table(key, value).and_then(Result::ok).map(|t| t.version);
@@ -216,7 +148,7 @@
 }
 
 /// Decodes the replica of a topic and passes it to the driver.
-fn publish(source: &dyn Source, shared: &Shared, topic: Topic) {
+pub(super) fn publish(source: &dyn Source, shared: &Shared, topic: Topic) {
     let (change, entries) = {
         let replica = shared.replica(topic);
         let entries: Vec<_> = replica.entries().map(|(k, v)| (k.to_owned(), v.to_vec())).collect();
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod fault;
 pub mod follow;
+pub mod follower;
 pub mod gossip;
 pub mod groups;
 pub mod ledger;
