Full reads: logged rarely with their ends and a count, and counted by topic

The logs of the users' incident have a line every few milliseconds, which doesn't tell where the replica and the platform's log end, or how often in a row. Now the first full read because of expired records is logged with era, end and what it brought, then at most one each 10 s with the count, and a line when reads go on; `relay_rereads_total` counts them by topic.

--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -7,6 +7,7 @@
 
 use super::follower::Follower;
 use super::state::Shared;
+use super::stats::Metrics;
 use super::table::RoutingTable;
 use crate::adapter::clock::Clock;
 use crate::adapter::http::{CallError, Client};
@@ -98,12 +99,13 @@
     source: &Arc<dyn Source>,
     shared: &Arc<Shared>,
     clock: &Clock,
+    metrics: &Arc<Metrics>,
     me: (String, SocketAddr),
     seeds: Vec<SocketAddr>,
 ) {
     for topic in [Topic::Config, Topic::Endpoints] {
         let (source, shared, clock) = (Arc::clone(source), Arc::clone(shared), clock.clone());
-        let mut follower = Follower::new(source, shared, clock.clone(), topic);
+        let mut follower = Follower::new(source, shared, clock.clone(), Arc::clone(metrics), topic);
         thread::spawn(move || {
             loop {
                 match follower.turn() {
--- a/src/relay/follower.rs
+++ b/src/relay/follower.rs
@@ -6,7 +6,9 @@
     BACKOFF, CHECK_INTERVAL, Source, SourceError, carry_over, max_backoff, publish,
 };
 use super::state::Shared;
-use crate::adapter::clock::Clock;
+use super::stats::{Metrics, TopicLabels};
+use crate::adapter::clock::{Clock, Millis};
+use crate::fleet::position;
 use crate::fleet::replica::Topic;
 
 /// Maximum time that a read waits for new records, in milliseconds. It is within the bounds for a
@@ -16,6 +18,8 @@
 /// Pause after a read that returned changes, in milliseconds, so that records written in quick
 /// succession are read together.
 const BATCH_PAUSE: u64 = 200;
+/// Minimum time between two log lines about expired records, in milliseconds.
+const MIN_LOG_INTERVAL: u64 = 10_000;
 
 /// Keeps the replica of one topic up to date.
 pub struct Follower {
@@ -27,15 +31,44 @@
     full: bool,
     /// The platform has not answered the last call.
     disconnected: bool,
-    /// No read from the replica's end has succeeded since records expired.
-    reread: bool,
-    /// Pause after the next failed call, in milliseconds.
+    /// Pause after the next read that brings nothing, in milliseconds.
     backoff: u64,
+    rereads: Rereads,
+}
+
+/// Result of a read.
+#[derive(Debug, Clone, Copy)]
+struct Progress {
+    /// An entry changed.
+    changed: bool,
+    /// The replica's end before the read and after it.
+    ends: (u64, u64),
+    /// Where the platform's topic ends, as a position that compares with the replica's end.
+    end: u64,
+}
+
+/// Full reads because records expired.
+#[derive(Debug)]
+struct Rereads {
+    metrics: Arc<Metrics>,
+    topic: &'static str,
+    /// Number in a row: no read from the replica's end has succeeded since.
+    row: u64,
+    /// Number since the last log line.
+    unlogged: u64,
+    /// Time of the last log line; `None` if there was none.
+    logged_at: Option<Millis>,
 }
 
 impl Follower {
     /// A follower of a topic that has read nothing.
-    pub fn new(source: Arc<dyn Source>, shared: Arc<Shared>, clock: Clock, topic: Topic) -> Self {
+    pub fn new(
+        source: Arc<dyn Source>,
+        shared: Arc<Shared>,
+        clock: Clock,
+        metrics: Arc<Metrics>,
+        topic: Topic,
+    ) -> Self {
         Self {
             source,
             shared,
@@ -43,8 +76,8 @@
             topic,
             full: true,
             disconnected: false,
-            reread: false,
             backoff: BACKOFF.0,
+            rereads: Rereads::new(metrics, topic),
         }
     }
 
@@ -56,30 +89,37 @@
         }
         let wait = if self.disconnected || stuck { 0 } else { READ_WAIT };
         match self.poll(wait) {
-            Ok(changed) => self.succeeded(changed),
+            Ok(progress) => self.succeeded(progress),
             Err(SourceError::Expired) => self.expired(),
             Err(e) => self.failed(&e),
         }
     }
 
-    fn succeeded(&mut self, changed: bool) -> u64 {
-        if self.disconnected {
+    fn succeeded(&mut self, progress: Progress) -> u64 {
+        let regained = std::mem::replace(&mut self.disconnected, false);
+        if regained {
             tracing::info!(topic = ?self.topic, "follow: platform regained");
         }
-        self.reread &= self.full;
-        (self.disconnected, self.full, self.backoff) = (false, false, BACKOFF.0);
         self.shared.set_disconnected(self.topic, false);
-        if !changed {
-            return 0;
+        let was_full = std::mem::replace(&mut self.full, false);
+        if was_full {
+            self.rereads.read(&progress);
+        } else {
+            self.rereads.end();
+        }
+        self.backoff = BACKOFF.0;
+        if progress.changed {
+            publish(self.source.as_ref(), &self.shared, self.topic);
+            return BATCH_PAUSE;
         }
-        publish(self.source.as_ref(), &self.shared, self.topic);
-        BATCH_PAUSE
+        0
     }
 
     fn expired(&mut self) -> u64 {
-        tracing::info!(topic = ?self.topic, "follow: records expired, rereading all");
         self.full = true;
-        if std::mem::replace(&mut self.reread, true) { BACKOFF.0 } else { 0 }
+        let end = self.shared.replica(self.topic).end();
+        self.rereads.expired(self.clock.now(), end);
+        if self.rereads.row == 1 { 0 } else { BACKOFF.0 }
     }
 
     fn failed(&mut self, e: &SourceError) -> u64 {
@@ -97,18 +137,75 @@
 
     /// Reads the topic once: after records expired the newest record of every key, else the records
     /// from the replica's end on, waiting up to `wait` milliseconds for the first. After a failure
-    /// `wait` must be 0, so that the end of an outage is known before the next record is read. Returns
-    /// true when an entry changed.
-    fn poll(&self, wait: u64) -> Result<bool, SourceError> {
-        if self.full {
-            let batch = self.source.newest(self.topic)?;
-            let mut replica = self.shared.replica(self.topic);
+    /// `wait` must be 0, so that the end of an outage is known before the next record is read.
+    fn poll(&self, wait: u64) -> Result<Progress, SourceError> {
+        let since = self.shared.replica(self.topic).end();
+        let batch = match self.full {
+            true => self.source.newest(self.topic)?,
+            false => self.source.read(self.topic, since, wait)?,
+        };
+        let now = self.clock.now();
+        let end = batch.end;
+        let mut replica = self.shared.replica(self.topic);
+        let before = replica.end();
+        let changed = if self.full {
             let batch = carry_over(self.source.as_ref(), self.topic, &replica, batch);
-            return Ok(replica.reset(self.clock.now(), batch));
+            replica.reset(now, batch)
+        } else {
+            replica.append(now, batch)
+        };
+        Ok(Progress { changed, ends: (before, replica.end()), end })
+    }
+}
+
+impl Rereads {
+    fn new(metrics: Arc<Metrics>, topic: Topic) -> Self {
+        let topic = if topic == Topic::Config { "config" } else { "endpoints" };
+        Self { metrics, topic, row: 0, unlogged: 0, logged_at: None }
+    }
+
+    /// Counts a read of a replica that ends at `end`, whose records have expired.
+    fn expired(&mut self, now: Millis, end: u64) {
+        self.row += 1;
+        self.unlogged += 1;
+        self.metrics.rereads.get_or_create(&TopicLabels { topic: self.topic }).inc();
+        if self.logged_at.is_some_and(|at| now < at + MIN_LOG_INTERVAL) {
+            return;
+        }
+        self.logged_at = Some(now);
+        let count = std::mem::take(&mut self.unlogged);
+        tracing::info!(
+            topic = self.topic,
+            era = position::era(end),
+            end = position::offset(end),
+            count,
+            row = self.row,
+            "follow: records expired, rereading all"
+        );
+    }
+
+    /// Notes what a full read brought. Those that were logged as they began are logged.
+    fn read(&self, progress: &Progress) {
+        if self.row == 0 || self.unlogged > 0 {
+            return;
+        }
+        let Progress { changed, ends: (before, after), end, .. } = *progress;
+        tracing::info!(
+            topic = self.topic,
+            era = position::era(end),
+            end = position::offset(end),
+            before = position::offset(before),
+            moved = before != after,
+            changed,
+            "follow: all reread"
+        );
+    }
+
+    /// Notes a read from the replica's end that succeeded.
+    fn end(&mut self) {
+        let row = std::mem::take(&mut self.row);
+        if row > 1 {
+            tracing::info!(topic = self.topic, row, "follow: reads go on after rereads");
         }
-        let from = self.shared.replica(self.topic).end();
-        let batch = self.source.read(self.topic, from, wait)?;
-        let now = self.clock.now();
-        Ok(self.shared.replica(self.topic).append(now, batch))
     }
 }
--- a/src/relay/stats.rs
+++ b/src/relay/stats.rs
@@ -62,6 +62,13 @@
     pub from: &'static str,
 }
 
+/// Label of a topic of the platform.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TopicLabels {
+    /// `config` or `endpoints`.
+    pub topic: &'static str,
+}
+
 /// Labels of a call to the platform's API for duties.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct DutyLabels {
@@ -168,6 +175,8 @@
     pub sheds: Family<ShedLabels, Counter>,
     /// Bytes read from callers and endpoints.
     pub read_bytes: Family<ReadLabels, Counter>,
+    /// Full reads of a topic because records had expired.
+    pub rereads: Family<TopicLabels, Counter>,
     /// 1 if this instance holds the lease of the duties.
     pub duty_holder: Gauge,
     /// Number of calls to the platform's API for duties.
@@ -221,6 +230,7 @@
             evictions: Counter::default(),
             sheds: Family::default(),
             read_bytes: Family::default(),
+            rereads: Family::default(),
             duty_holder: Gauge::default(),
             duty_calls: Family::default(),
             ledger_calls: Family::default(),
@@ -298,6 +308,8 @@
         r.register("orders", "orders for endpoints by outcome", self.orders.clone());
         r.register("callers_given_up", "callers given up to keep a limit", self.sheds.clone());
         r.register("read_bytes", "bytes read by kind of connection", self.read_bytes.clone());
+        let help = "full reads because records expired, by topic";
+        r.register("rereads", help, self.rereads.clone());
         r.register("duty_holder", "1 on the holder of the duties", self.duty_holder.clone());
         r.register("duty_calls", "calls for duties by reply", self.duty_calls.clone());
         r.register("ledger_calls", "calls of the ledger by outcome", self.ledger_calls.clone());
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -487,6 +487,7 @@
         &source,
         &shared,
         &Clock::system(),
+        &Arc::default(),
         ("n".to_owned(), common::free_addr()),
         Vec::new(),
     );
@@ -588,7 +589,7 @@
     let flaky = Arc::new(FlakySource::default());
     let source: Arc<dyn Source> = flaky.clone();
     let me = ("n".to_owned(), common::free_addr());
-    follow::start(&source, &shared, &Clock::system(), me, Vec::new());
+    follow::start(&source, &shared, &Clock::system(), &Arc::default(), me, Vec::new());
     common::until("full reads of both topics", || flaky.full_reads.load(Ordering::SeqCst) >= 3);
     shared.set_peer_offsets(vec![PeerOffsets { addr, ends: (5, 0), same_domain: true }]);
     (shared, flaky)
@@ -624,6 +625,7 @@
         &source,
         &shared,
         &Clock::system(),
+        &Arc::default(),
         ("n".to_owned(), common::free_addr()),
         Vec::new(),
     );
