Reads that bring nothing are followed by growing, spread pauses

The platform takes 2,000 reads a second from all.

Now each read that neither changed an entry nor moved the replica's end, and didn't wait, is followed by a pause that doubles: 100 to 800 ms for the few readers, a quarter of the maximum to the maximum that failed calls have for the others, spread from half to one and a half of it. A read that brings something, or waits, starts anew. The first full read of a reader still comes at once.

--- a/src/relay/follower.rs
+++ b/src/relay/follower.rs
@@ -1,4 +1,7 @@
 //! Turns of the thread that reads one topic of the platform into its replica.
+//!
+//! Reads that bring nothing are followed by pauses that grow, whatever the platform answers: it takes a
+//! limited number of calls from all instances together.
 
 use std::sync::Arc;
 
@@ -18,6 +21,8 @@
 /// Pause after a read that returned changes, in milliseconds, so that records written in quick
 /// succession are read together.
 const BATCH_PAUSE: u64 = 200;
+/// Fraction of the maximum pause with which an instance that isn't a reader begins.
+const FIRST_DIVISOR: u64 = 4;
 /// Minimum time between two log lines about expired records, in milliseconds.
 const MIN_LOG_INTERVAL: u64 = 10_000;
 
@@ -45,6 +50,14 @@
     ends: (u64, u64),
     /// Where the platform's topic ends, as a position that compares with the replica's end.
     end: u64,
+    /// The read waited for records for about as long as it might.
+    waited: bool,
+}
+
+impl Progress {
+    fn is_useful(&self) -> bool {
+        self.changed || self.ends.0 != self.ends.1
+    }
 }
 
 /// Full reads because records expired.
@@ -107,19 +120,27 @@
         } else {
             self.rereads.end();
         }
-        self.backoff = BACKOFF.0;
+        if progress.is_useful() || progress.waited {
+            self.backoff = BACKOFF.0;
+        }
         if progress.changed {
             publish(self.source.as_ref(), &self.shared, self.topic);
             return BATCH_PAUSE;
         }
-        0
+        // The next read tells more: from the new end, or with a wait for records.
+        let is_first = was_full && self.rereads.row <= 1;
+        if is_first || regained || progress.waited {
+            return 0;
+        }
+        self.pause_after_nothing()
     }
 
     fn expired(&mut self) -> u64 {
         self.full = true;
         let end = self.shared.replica(self.topic).end();
         self.rereads.expired(self.clock.now(), end);
-        if self.rereads.row == 1 { 0 } else { BACKOFF.0 }
+        let is_first = self.rereads.row == 1;
+        if is_first && self.shared.is_reader() { 0 } else { self.pause_after_nothing() }
     }
 
     fn failed(&mut self, e: &SourceError) -> u64 {
@@ -129,16 +150,36 @@
         }
         self.disconnected = true;
         self.shared.set_disconnected(self.topic, true);
-        let pause = self.backoff + rand::random_range(0..=self.backoff / 2);
-        let max = max_backoff(self.shared.instances().len());
-        self.backoff = (self.backoff * 2).min(max);
-        pause
+        let base = self.next_backoff(BACKOFF.0, max_backoff(self.shared.instances().len()));
+        base + rand::random_range(0..=base / 2)
+    }
+
+    /// The pause after a read that brought nothing. Readers are few at any size of the fleet; the others
+    /// may all begin to read at once.
+    fn pause_after_nothing(&mut self) -> u64 {
+        let (first, max) = match self.shared.is_reader() {
+            true => BACKOFF,
+            false => {
+                let max = max_backoff(self.shared.instances().len());
+                (max / FIRST_DIVISOR, max)
+            }
+        };
+        let base = self.next_backoff(first, max);
+        base / 2 + rand::random_range(0..=base)
+    }
+
+    /// Length of the next pause, at least `first`; the one after it is twice as long, up to `max`.
+    fn next_backoff(&mut self, first: u64, max: u64) -> u64 {
+        let base = self.backoff.clamp(first, max);
+        self.backoff = (base * 2).min(max);
+        base
     }
 
     /// Reads the topic once: after records expired the newest record of every key, else the records
     /// from the replica's end on, waiting up to `wait` milliseconds for the first. After a failure
     /// `wait` must be 0, so that the end of an outage is known before the next record is read.
     fn poll(&self, wait: u64) -> Result<Progress, SourceError> {
+        let start = self.clock.now();
         let since = self.shared.replica(self.topic).end();
         let batch = match self.full {
             true => self.source.newest(self.topic)?,
@@ -154,7 +195,8 @@
         } else {
             replica.append(now, batch)
         };
-        Ok(Progress { changed, ends: (before, replica.end()), end })
+        let waited = wait > 0 && now >= start + wait / 2;
+        Ok(Progress { changed, ends: (before, replica.end()), end, waited })
     }
 }
 
