Streams: all that run while the store goes back are put on record

Streams at the base aren't on record; after the store came back from a copy the base doesn't count for a lifetime. So if all instances were killed in that time, callers' streams that had begun at the base were refused, although their instances had lived through the restore and knew. restored_store_refused_streams_at_the_base (tests/origin.rs) is red without the change.

Now an instance that sees a later era records all streams that it began.

--- a/src/policy/origin/mod.rs
+++ b/src/policy/origin/mod.rs
@@ -460,12 +460,23 @@
             tracing::info!(era, "origin: records may be lost, the platform was restored");
             self.whole_from = now + self.lifetime;
             self.bases.values_mut().for_each(|b| b.forget(now));
+            self.record_all();
             self.recorded_lifetime = 0;
             self.lifetime_change = self.touch();
         }
         self.era = Some(era);
     }
 
+    /// Puts all streams of this instance on record, also those at a base.
+    fn record_all(&mut self) {
+        let mut streams = Vec::new();
+        for own in self.own.values_mut().filter(|o| !o.recorded) {
+            own.recorded = true;
+            streams.push((own.service.clone(), own.stream));
+        }
+        streams.into_iter().for_each(|(service, stream)| self.note_version(&service, stream));
+    }
+
     fn touch(&mut self) -> u64 {
         self.is_unwritten = true;
         self.changes.made += 1;
--- a/tests/origin.rs
+++ b/tests/origin.rs
@@ -724,6 +724,17 @@
     assert!((0..3).all(|i| w.base(i) == Some(v("v2"))));
 }
 
+/// A stream at the base runs while the store goes back, then all instances start again.
+fn stream_at_the_base_of_a_restored_store(w: &mut World) {
+    assert_eq!(w.begin(0, "a", "v1"), Readiness::Ready);
+    let copy = w.store.clone();
+    w.restore(copy);
+    (0..3).for_each(|i| w.read(i));
+    (0..3).for_each(|i| w.flush(i));
+    (0..3).for_each(|i| w.restart(i));
+    w.assert_goes_on("a");
+}
+
 /// The copy is older than the first base, and one instance had not heard of the last base.
 fn store_restored_from_before_the_first_base(w: &mut World) {
     w.list_all(&["v2"]);
@@ -996,6 +1007,7 @@
     long_deadline_joined_versions => long_deadline_at_one_instance;
     memory_of_an_older_base_joined_versions => store_restored_from_before_the_first_base;
     base_of_an_older_era_refused_streams => base_of_an_instance_that_has_not_seen_the_restore;
+    restored_store_refused_streams_at_the_base => stream_at_the_base_of_a_restored_store;
     base_counted_before_it_was_written_refused_a_stream => base_held_back_after_a_restore;
     doubt_not_written_joined_versions => doubt_not_written;
     endless_deadline_joined_versions => endless_deadline_after_the_record;
