--- a/tests/origin.rs
+++ b/tests/origin.rs
@@ -888,6 +888,19 @@
     w.resume(1, "a");
 }
 
+/// A caller whose attempts are refused while the store is away tries on for longer than a stream lasts, each
+/// time with a timeout of its own.
+fn chain_of_refused_resumes(w: &mut World) {
+    assert_eq!(w.begin(0, "a", "v2"), Readiness::Ready);
+    w.list_all(&["v1"]);
+    w.refuse(1);
+    for _ in 0..3 {
+        assert_eq!(w.resume(1, "a"), Verdict::Unknown);
+        w.run(TIMEOUT / 2);
+    }
+    w.resume(1, "a");
+}
+
 /// The longest timeout is shortened, and all instances start again.
 fn timeout_shortened(w: &mut World) {
     (0..3).for_each(|i| w.nodes[i].origins.add_timeout(120_000));
@@ -989,6 +1002,7 @@
     begin_at_a_lone_instance_joined_versions => begin_at_an_instance_that_is_cut_off;
     base_of_an_older_era_written_again_refused_streams => base_of_an_older_era_written_again;
     chain_of_resumes_joined_versions => chain_of_resumes;
+    chain_of_refused_resumes_joined_versions => chain_of_refused_resumes;
     shortened_timeout_joined_versions => timeout_shortened;
 }
 
