--- a/tests/origin_fleet.rs
+++ b/tests/origin_fleet.rs
@@ -160,7 +160,9 @@
     node: usize,
     epoch: u64,
     arrived: Millis,
+    /// Time until which its caller waits for this attempt, and tries again.
     until: Millis,
+    patience: Millis,
     lineage: Lineage,
     wanted: Option<Software>,
     /// Endpoint to which it was sent, and the number of the send.
@@ -760,7 +762,8 @@
             node: 0,
             epoch: 0,
             arrived: 0,
-            until: self.now + self.plan.timeout,
+            until: 0,
+            patience: self.now + self.plan.timeout,
             lineage: Lineage::Free,
             wanted: None,
             endpoint: None,
@@ -780,17 +783,16 @@
         let Some(&i) = up.choose(&mut self.rng) else {
             return self.after(200, Event::Arrive(s));
         };
-        // A further attempt may have a timeout of its own, but not after one without an event: see
-        // chain_of_refused_resumes_joined_versions in KNOWN-RED.txt.
+        // An attempt after an event may have a timeout of its own, which doesn't count for later ones until it
+        // brings an event: see chain_of_refused_resumes_joined_versions in KNOWN-RED.txt.
         let anew = self.chance(0.3);
         let stream = &mut self.streams[s];
-        if stream.attempt > 0 && self.now >= stream.until {
+        if stream.attempt > 0 && self.now >= stream.patience {
             stream.ended = true;
             return;
         }
-        if anew && stream.running {
-            stream.until = self.now + self.plan.timeout;
-        }
+        let anew = anew && stream.running;
+        stream.until = if anew { self.now + self.plan.timeout } else { stream.patience };
         stream.attempt += 1;
         (stream.node, stream.epoch, stream.arrived) = (i, self.nodes[i].epoch, self.now);
         (stream.lineage, stream.wanted, stream.endpoint) = (Lineage::Free, None, None);
@@ -857,7 +859,13 @@
             self.free(s);
             return self.nodes[i].pending.push(s);
         };
-        match self.prepare(s, software) {
+        let readiness = self.prepare(s, software);
+        if self.trace == Some(s) {
+            let own = self.now + self.nodes[i].skew;
+            let begin = self.nodes[i].origins.begin(own, SERVICE, |v| self.serves(i, v));
+            self.log(s, || format!("{begin:?} {readiness:?}"));
+        }
+        match readiness {
             Readiness::Ready => self.send(s, endpoint, software),
             Readiness::Wait => {
                 (self.streams[s].lineage, self.streams[s].wanted) =
@@ -907,7 +915,15 @@
 
     fn send(&mut self, s: usize, endpoint: u32, software: Software) {
         let i = self.streams[s].node;
-        self.log(s, || format!("sent to {endpoint} at {software:?} by {i}"));
+        self.log(s, || {
+            let node = &self.nodes[i];
+            let base = node.origins.base(self.now + node.skew, SERVICE);
+            let name = |v: Software| (1..99).find(|n| version(*n) == v).unwrap_or_default();
+            let listed: IndexSet<_> = self.list(i).values().map(|v| name(*v)).collect();
+            let (base, software) = (base.map(name), name(software));
+            let age = self.now - node.synced_at;
+            format!("sent to {endpoint} at v{software} by {i}, base {base:?}, listed {listed:?}, {age} ms old")
+        });
         if !self.endpoints.contains_key(&endpoint) {
             // Nothing answers there: the request wasn't run.
             self.free(s);
@@ -944,7 +960,7 @@
             let share = if stream.resumed { &mut self.taken } else { &mut self.begun };
             share.ok += 1;
         }
-        self.streams[s].running = true;
+        (self.streams[s].running, self.streams[s].patience) = (true, self.streams[s].until);
         self.log(s, || format!("event of {software:?} at {i}"));
         let lasts = self.draw(50..2_500);
         self.after(lasts, Event::Break(s, send));
