Streams without a record begin only at the version that may have become the base

While the store took no writes of an instance, it began streams at any version if the base that it knew wasn't listed. But the others may have opened another base that it hasn't read of: after the next release had begun, such a stream at the newest version was taken for one of that base and joined. Now, while nothing can be written, streams begin only at the version that was the last one listed alone, as long as it is listed: no other can have become the base.

The directed case unknown_base_joined_versions failed before and passes.

--- a/src/policy/origin/base.rs
+++ b/src/policy/origin/base.rs
@@ -33,6 +33,9 @@
     closed_since: Option<Millis>,
     /// The only listed version, and the time since which this instance has seen no other.
     alone: Option<(Software, Millis)>,
+    /// The last version that was the only listed one, if it is listed still: others may have made it the
+    /// base since.
+    candidate: Option<Software>,
     /// Time since which the list has been up to date at all instances.
     informed_since: Option<Millis>,
     /// There has been a base, or more than one version.
@@ -55,6 +58,7 @@
         let before = self.alone.filter(|(v, _)| Some(*v) == only);
         let is_other = self.alone.is_some() && before.is_none();
         self.alone = only.map(|v| before.unwrap_or((v, now)));
+        self.candidate = only.or(self.candidate.filter(|v| listed.contains(v)));
         self.was_set |= listed.len() > 1 || is_other;
         self.informed_since = informed.then(|| self.informed_since.unwrap_or(now));
         self.is_listed = self.software.is_some_and(|v| listed.contains(&v));
@@ -180,6 +184,11 @@
         }
     }
 
+    /// The version that may have become the base unnoticed, as it was the only listed one.
+    pub(super) fn candidate(&self) -> Option<Software> {
+        self.candidate
+    }
+
     /// True if only one version is listed.
     pub(super) fn is_alone(&self) -> bool {
         self.alone.is_some()
--- a/src/policy/origin/mod.rs
+++ b/src/policy/origin/mod.rs
@@ -83,7 +83,7 @@
 pub enum Begin {
     /// At any version, once recorded.
     Any,
-    /// At the base only, which needs no record.
+    /// At the base only, which needs no record, or at the version that may have become the base.
     Base(Software),
     /// At any version, without a record: the base isn't listed.
     Unrecorded,
@@ -246,12 +246,23 @@
         if !self.is_write_late(now) && self.era.is_some() {
             return Begin::Any;
         }
-        let is_listed = self.bases.get(service).is_some_and(Base::is_listed);
-        match self.base(now, service) {
-            Some(base) if serves(base) => Begin::Base(base),
-            _ if is_listed => Begin::Refuse,
-            _ => Begin::Unrecorded,
+        if let Some(base) = self.base(now, service).filter(|b| serves(*b)) {
+            return Begin::Base(base);
         }
+        let known = self.bases.get(service);
+        if known.is_some_and(Base::is_listed) {
+            return Begin::Refuse;
+        }
+        known.and_then(Base::candidate).map_or(Begin::Unrecorded, Begin::Base)
+    }
+
+    /// True if a stream may begin at a version without a record while nothing can be written: the base isn't
+    /// listed, so one that is taken for a stream of the base finds no endpoint. The only exception is a
+    /// version that may have become the base.
+    fn may_begin_unrecorded(&self, service: &str, software: Software) -> bool {
+        self.bases.get(service).is_none_or(|base| {
+            !base.is_listed() && base.candidate().is_none_or(|only| only == software)
+        })
     }
 
     /// Prepares an attempt that has brought no event to be sent to an endpoint with a software version.
@@ -293,9 +304,8 @@
         if !self.is_write_late(now) {
             return Readiness::Wait;
         }
-        // The base isn't listed, so a stream that is taken for one of the base finds no endpoint.
-        let is_listed = self.bases.get(service).is_some_and(Base::is_listed);
-        if recorded && !is_listed { Readiness::Ready } else { Readiness::Stuck }
+        let may_begin = recorded && self.may_begin_unrecorded(service, software);
+        if may_begin { Readiness::Ready } else { Readiness::Stuck }
     }
 
     /// Puts a stream that goes on here on record, for as long as the caller of this attempt waits.
--- a/tests/origin.rs
+++ b/tests/origin.rs
@@ -641,6 +641,22 @@
     w.resume(1, "b");
 }
 
+/// The base changes while the store refuses an instance, and the next release begins.
+fn store_away_with_a_base_that_is_not_known(w: &mut World) {
+    w.refuse(0);
+    w.list_all(&["v2"]);
+    w.run(LIFETIME + 3 * TURN);
+    assert_eq!(w.base(1), Some(v("v2")));
+    w.list_all(&["v2", "v3"]);
+    w.prepare(0, "x", "v3");
+    w.submit(0);
+    w.now += WRITE_TIMEOUT;
+    w.begin(0, "a", "v3");
+    w.resume(1, "a");
+    assert_eq!(w.begin(0, "b", "v2"), Readiness::Ready);
+    assert_eq!(w.resume(1, "b"), Verdict::Began(v("v2")));
+}
+
 /// An instance starts without the store after a release, which goes back.
 fn start_without_the_store_after_a_release(w: &mut World) {
     w.list_all(&["v2"]);
@@ -987,6 +1003,7 @@
     alone_at_one_instance_joined_versions => old_list_of_another_instance_without_the_store;
     unrecorded_stream_joined_versions => store_away_without_endpoints_of_the_base;
     unrecorded_stream_at_one_instance_joined_versions => store_away_with_a_base_that_has_to_be_read;
+    unknown_base_joined_versions => store_away_with_a_base_that_is_not_known;
     start_without_the_store_joined_versions => start_without_the_store_after_a_release;
     long_deadline_joined_versions => long_deadline_at_one_instance;
     memory_of_an_older_base_joined_versions => store_restored_from_before_the_first_base;
