Streams: an instance notes a restored store in any call

After the store came back from a copy, an instance went on to begin streams at the base without a record until it next read the records, though its own write had brought the new era. Instances that had read by then forgot the base, so callers' take-ups of such streams were refused as unknown.

The era of an acknowledged write, and that of the other topics, now counts at once: the base isn't trusted, and what runs is put on record. An era never goes back. restore_seen_late_refused_streams_at_the_base (tests/origin.rs).

--- a/src/policy/origin/mod.rs
+++ b/src/policy/origin/mod.rs
@@ -466,7 +466,7 @@
     /// Takes the era of the platform whose records are being read, before they are learned. In a later
     /// era, records that were written lately may be lost: streams are written again, and bases forgotten.
     pub fn set_era(&mut self, now: Millis, era: u64) {
-        if self.era.is_some_and(|before| before != era) {
+        if self.era.is_some_and(|before| before < era) {
             tracing::info!(era, "origin: records may be lost, the platform was restored");
             self.whole_from = now + self.lifetime;
             self.bases.values_mut().for_each(|b| b.forget(now));
@@ -474,7 +474,14 @@
             self.recorded_lifetime = 0;
             self.lifetime_change = self.touch();
         }
-        self.era = Some(era);
+        self.era = self.era.max(Some(era));
+    }
+
+    /// Takes an era of the platform that was seen in other calls than reads of the records.
+    pub fn note_era(&mut self, now: Millis, era: u64) {
+        if self.era.is_some() {
+            self.set_era(now, era);
+        }
     }
 
     /// Puts all streams of this instance on record, also those at a base.
--- a/src/relay/driver/origins.rs
+++ b/src/relay/driver/origins.rs
@@ -281,6 +281,9 @@
 
     /// Takes the versions that are listed for all services.
     pub(super) fn observe_versions(&mut self, now: Millis) {
+        if let Some(era) = self.shared.era() {
+            self.origins.note_era(now, era);
+        }
         let informed = self.shared.replica(Topic::Endpoints).end() > 0 && self.is_informed(now);
         for (name, pool) in &self.pools {
             self.origins.observe(now, name, &pool.balancer.listed_versions(), informed);
--- a/src/relay/ledger/reader.rs
+++ b/src/relay/ledger/reader.rs
@@ -221,7 +221,7 @@
                 updates.records.extend(records);
             }
             updates.read = Some((number, succeeded));
-            updates.ledger_era = era.or(updates.ledger_era);
+            updates.ledger_era = updates.ledger_era.max(era);
         });
         if let Some(era) = era {
             self.shared.ledger().note_era(era);
--- a/src/relay/ledger/writer.rs
+++ b/src/relay/ledger/writer.rs
@@ -59,9 +59,11 @@
                 let bytes = batch.changes.iter().map(|(_, k, v)| k.len() + v.len()).sum();
                 self.log.succeeded("write", entries.len(), bytes);
                 self.backoff = Backoff::default();
-                if let Some(written) = self.shared.ledger().acknowledge(batch, era) {
-                    self.shared.notify(|updates| updates.written = Some(written));
-                }
+                let written = self.shared.ledger().acknowledge(batch, era);
+                self.shared.notify(|updates| {
+                    updates.written = written.or(updates.written);
+                    updates.ledger_era = updates.ledger_era.max(Some(era));
+                });
             }
             Err(e) => {
                 self.log.failed("write", &e);
--- a/tests/origin.rs
+++ b/tests/origin.rs
@@ -751,6 +751,21 @@
     w.assert_goes_on("a");
 }
 
+/// An instance sees in another call that the store went back, before it reads records again.
+fn restore_seen_in_another_call(w: &mut World) {
+    let copy = w.store.clone();
+    assert_eq!(w.begin(0, "a", "v1"), Readiness::Ready);
+    w.restore(copy);
+    let era = w.era;
+    let (now, node) = w.node(0);
+    node.origins.note_era(now, era);
+    assert_eq!(w.base(0), None);
+    assert_eq!(w.prepare(0, "b", "v1"), Readiness::Wait, "it needs a record now");
+    w.flush(0);
+    (0..3).for_each(|i| w.restart(i));
+    w.assert_goes_on("a");
+}
+
 /// The copy is older than the first base, and one instance had not heard of the last base.
 fn store_restored_from_before_the_first_base(w: &mut World) {
     w.list_all(&["v2"]);
@@ -1038,6 +1053,7 @@
     memory_of_an_older_base_joined_versions => store_restored_from_before_the_first_base;
     base_of_an_older_era_refused_streams => base_of_an_instance_that_has_not_seen_the_restore;
     restored_store_refused_streams_at_the_base => stream_at_the_base_of_a_restored_store;
+    restore_seen_late_refused_streams_at_the_base => restore_seen_in_another_call;
     base_counted_before_it_was_written_refused_a_stream => base_held_back_after_a_restore;
     doubt_not_written_joined_versions => doubt_not_written;
     endless_deadline_joined_versions => endless_deadline_after_the_record;
