Streams that callers resume go before others in the queue

Under load take-ups were last: they wait behind all that came before, and only endpoints of one version may take them. A resumed stream has run for a part already: within its priority it is tried before others, and doesn't queue behind them on arrival.

--- a/src/relay/driver/dispatch.rs
+++ b/src/relay/driver/dispatch.rs
@@ -191,6 +191,9 @@
     /// higher priority, for the same endpoints or more.
     fn must_wait(&self, index: usize) -> bool {
         let Some(own) = self.callers[index].exchange.as_ref() else { return false };
+        if own.resume.is_some() {
+            return false;
+        }
         self.queue.ordered().iter().any(|(key, other)| {
             let other = self.callers.get(*other).and_then(|c| c.exchange.as_ref());
             key.0 <= own.priority()
@@ -276,8 +279,10 @@
         let waited = now.saturating_sub(exchange.arrived);
         let needs = Requirements { waited, ..exchange.requirements.clone() };
         let pool = self.pools.get(&exchange.service);
-        let late = pool.is_some_and(|p| p.balancer.is_late(&needs));
-        let stretch = pool.map_or(0, |p| p.balancer.stretch(&needs));
+        // A resumed stream goes before others: it has run for a part already, and few endpoints may take it.
+        let resumed = exchange.resume.is_some();
+        let late = !resumed && pool.is_some_and(|p| p.balancer.is_late(&needs));
+        let stretch = pool.filter(|_| !resumed).map_or(0, |p| p.balancer.stretch(&needs));
         let queued = Queued { priority, late, stretch, arrived, index };
         Some(fair::Entry {
             queued,
