A log that went back without a new era is taken as restored, not dropped for ever

A full read that ended before the replica was dropped unless the platform stated a later era: with the same era, a lower one or none that was every read, and records that were written before the old end were never read once the log had grown past it: a version that was confirmed, an endpoint that leaves.

The platform's responses are linearizable, so a full read that began when the replica ended at E and returns an earlier end in the same era shows that the log went back. The replica's end is taken before the call, so a response that a copy from a peer overtook is still dropped. Such a read begins a generation of the era: five bits of a position between era and offset, so instances, peers and heartbeats compare them like eras, and what holds for a restored platform holds for it. Eras stay what the platform states: the ledger and the duties compare those.

--- a/src/fleet/replica.rs
+++ b/src/fleet/replica.rs
@@ -79,6 +79,18 @@
     }
 }
 
+impl Batch {
+    /// A full read with positions that compare with `since`, the end of the replica before the read began.
+    #[must_use]
+    pub fn after(mut self, since: u64) -> Self {
+        self.end = position::end_of_read(since, self.end);
+        for record in &mut self.records {
+            record.offset = position::moved_to(self.end, record.offset);
+        }
+        self
+    }
+}
+
 /// Newest record of a key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Entry {
@@ -195,6 +207,7 @@
         if restored {
             tracing::info!(
                 era = position::era(batch.end),
+                generation = position::generation(batch.end),
                 end = position::offset(batch.end),
                 before = position::offset(self.end),
                 "replica: platform was restored"
@@ -225,9 +238,9 @@
         self.count_change(changed)
     }
 
-    /// True if a full read or a peer's replica belongs to a later era than this replica.
+    /// True if a full read or a peer's replica belongs to a later history than this replica.
     pub fn is_restored(&self, batch: &Batch) -> bool {
-        self.end > 0 && position::era(batch.end) > position::era(self.end)
+        self.end > 0 && position::history(batch.end) > position::history(self.end)
     }
 
     /// Puts values of this replica in the place of older ones of a platform that was restored.
--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -20,7 +20,7 @@
 const INSTANCES_INTERVAL: u64 = 30_000;
 /// Interval between checks whether the platform was restored from a copy, which may have lost the
 /// registration of this instance, in milliseconds.
-const ERA_INTERVAL: u64 = 1_000;
+const HISTORY_INTERVAL: u64 = 1_000;
 /// First and maximum pause after a failed call, in milliseconds.
 pub(super) const BACKOFF: (u64, u64) = (100, 800);
 /// Upper limit of the maximum pause in a large fleet, in milliseconds. The pause may be longer
@@ -316,7 +316,7 @@
 /// Registers this instance and reads the instance list at intervals.
 fn run_membership(source: &dyn Source, shared: &Shared, clock: &Clock, me: &(String, SocketAddr)) {
     let mut announced = false;
-    let mut era = shared.era();
+    let mut history = shared.history();
     loop {
         if !announced {
             let addr = me.1.to_string();
@@ -340,9 +340,9 @@
         }
         let until = clock.now() + INSTANCES_INTERVAL;
         while announced && clock.now() < until {
-            clock.sleep(ERA_INTERVAL);
-            let before = std::mem::replace(&mut era, shared.era());
-            announced = before.is_none() || era == before;
+            clock.sleep(HISTORY_INTERVAL);
+            let before = std::mem::replace(&mut history, shared.history());
+            announced = before.is_none() || history == before;
         }
     }
 }
--- a/src/relay/follower.rs
+++ b/src/relay/follower.rs
@@ -180,9 +180,10 @@
     /// `wait` must be 0, so that the end of an outage is known before the next record is read.
     fn poll(&self, wait: u64) -> Result<Progress, SourceError> {
         let start = self.clock.now();
+        // Taken before the call, see `position::end_of_read`.
         let since = self.shared.replica(self.topic).end();
         let batch = match self.full {
-            true => self.source.newest(self.topic)?,
+            true => self.source.newest(self.topic)?.after(since),
             false => self.source.read(self.topic, since, wait)?,
         };
         let now = self.clock.now();
@@ -219,6 +220,7 @@
         tracing::info!(
             topic = self.topic,
             era = position::era(end),
+            generation = position::generation(end),
             end = position::offset(end),
             count,
             row = self.row,
@@ -235,6 +237,7 @@
         tracing::info!(
             topic = self.topic,
             era = position::era(end),
+            generation = position::generation(end),
             end = position::offset(end),
             before = position::offset(before),
             moved = before != after,
--- a/src/relay/state.rs
+++ b/src/relay/state.rs
@@ -185,6 +185,13 @@
         (lock(&self.config).end(), lock(&self.endpoints).end())
     }
 
+    /// History of the platform's log, see [`position::history`]; `None` before anything has been read.
+    pub fn history(&self) -> Option<u64> {
+        let (config, endpoints) = self.ends();
+        let end = config.max(endpoints);
+        (end > 0).then(|| position::history(end))
+    }
+
     /// Era of the platform; `None` before anything has been read.
     pub fn era(&self) -> Option<u64> {
         let (config, endpoints) = self.ends();
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -59,7 +59,7 @@
 
     fn record(&self, offset: usize, history: u64) -> Record {
         let (key, value) = self.records[offset].clone();
-        let offset = position::at(position::era(history), offset as u64);
+        let offset = position::moved_to(history, offset as u64);
         Record { offset, key, value: value.map(String::into_bytes), remaining: None }
     }
 
@@ -152,7 +152,7 @@
             return Ok(nothing);
         }
         let records = (offset..log.records.len()).map(|o| log.record(o, from)).collect();
-        let end = position::at(position::era(from), position::offset(log.end()));
+        let end = position::moved_to(from, log.end());
         Ok(Batch { end, records, kept: Vec::new() })
     }
 
@@ -380,7 +380,7 @@
 #[test]
 fn log_that_goes_back_again_and_again_is_followed() {
     let (mut thread, platform) = thread_at(0, &["a", "b", "c"]);
-    for n in 1..=31 {
+    for n in 1..=position::MAX_GENERATION {
         platform.set(went_back(0, &[]));
         thread.run(3_000);
         let key = format!("k{n}");
@@ -420,5 +420,5 @@
     other.set(went_back(0, &[("d", Some("1"))]));
     late.run(6_000);
     assert_eq!(late.keys(), ["a", "d"]);
-    assert_eq!(1, 1);
+    assert_eq!(position::generation(late.end()), 1);
 }
