Instance registers again if the platform was restored right after its registration

The history of the platform was first noted at the first check, one second after the registration: if the platform was restored before that, the new history was taken for the one of the registration, and the instance stayed unlisted. Now it is the history in which the registration was written, from the response.

--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -11,6 +11,7 @@
 use super::table::RoutingTable;
 use crate::adapter::clock::Clock;
 use crate::adapter::http::{CallError, Client};
+use crate::fleet::position;
 use crate::fleet::readers::READERS;
 use crate::fleet::replica::{Batch, Replica, Topic};
 use crate::policy::place::Listing;
@@ -316,12 +317,17 @@
 /// Registers this instance and reads the instance list at intervals.
 fn run_membership(source: &dyn Source, shared: &Shared, clock: &Clock, me: &(String, SocketAddr)) {
     let mut announced = false;
-    let mut history = shared.history();
+    // History of the platform in which this instance registered.
+    let mut registered = None;
     loop {
         if !announced {
             let addr = me.1.to_string();
+            let before = shared.history();
             match source.put(Topic::Instances, &[(&me.0, Some(addr.as_bytes()))]) {
-                Ok(_) => announced = true,
+                Ok(era) => {
+                    announced = true;
+                    registered = before.max(Some(position::history(position::at(era, 0))));
+                }
                 Err(e) => tracing::warn!("follow: registration failed, retrying: {e}"),
             }
         }
@@ -341,8 +347,7 @@
         let until = clock.now() + INSTANCES_INTERVAL;
         while announced && clock.now() < until {
             clock.sleep(HISTORY_INTERVAL);
-            let before = std::mem::replace(&mut history, shared.history());
-            announced = before.is_none() || history == before;
+            announced = shared.history() <= registered;
         }
     }
 }
