--- a/src/relay/duty/runner.rs
+++ b/src/relay/duty/runner.rs
@@ -5,6 +5,7 @@
 use super::{Api, Board, Duties, Journal, Reply};
 use crate::adapter::clock::{Clock, Millis};
 use crate::adapter::codec;
+use crate::fleet::position;
 use crate::fleet::replica::Batch;
 use crate::policy::lease::{Append, Appended, Entry, Lease, Next, Snapshot, Standing, Term};
 use crate::policy::scale::{Order, Outcome};
@@ -47,6 +48,8 @@
     planner_token: u64,
     /// Earliest time of the next call to the API.
     next_call: Millis,
+    /// Full reads of the log in a row because records had expired.
+    rereads: u64,
     /// Time since which the log answers no call.
     failing_since: Option<Millis>,
     /// Time since which the API was not reached.
@@ -80,6 +83,7 @@
             planner: None,
             planner_token: 0,
             next_call: 0,
+            rereads: 0,
             failing_since: None,
             unreached_since: None,
             yields_until: 0,
@@ -169,18 +173,38 @@
                 let now = self.clock.now();
                 self.lease.received(now, end, records);
                 self.succeeded();
+                self.end_rereads();
                 // A log that doesn't wait is not called without a pause.
                 if end == from && now < start + wait / 2 { MAX_PAUSE } else { 0 }
             }
             Err(SourceError::Expired) => {
-                tracing::info!(from, "duty: records expired, rereading all");
                 self.lease.expired();
-                self.succeeded()
+                self.succeeded();
+                self.reread(from)
             }
             Err(e) => self.failed(&e),
         }
     }
 
+    /// Counts a full read that is due because records have expired. Returns the pause before it: further
+    /// ones in a row don't follow at once.
+    fn reread(&mut self, from: u64) -> u64 {
+        self.rereads += 1;
+        if self.rereads > 1 {
+            return FAILURE_PAUSE;
+        }
+        let (era, end) = (position::era(from), position::offset(from));
+        tracing::info!(era, end, "duty: records expired, rereading all");
+        0
+    }
+
+    fn end_rereads(&mut self) {
+        let rereads = std::mem::take(&mut self.rereads);
+        if rereads > 1 {
+            tracing::info!(rereads, "duty: reads go on after rereads");
+        }
+    }
+
     fn append(&mut self, append: &Append) -> u64 {
         let outcome = self.journal.append(append.at, &append.records);
         self.lease.appended(&outcome);
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -13,7 +13,7 @@
 use sassafrasworks::adapter::clock::Clock;
 use sassafrasworks::fleet::position;
 use sassafrasworks::fleet::replica::{Batch, Record};
-use sassafrasworks::policy::lease::{Appended, Candidate, Entry, Term, choose};
+use sassafrasworks::policy::lease::{Appended, Candidate, Entry, MAX_CANDIDATES, Term, choose};
 use sassafrasworks::policy::scale::Order;
 use sassafrasworks::policy::usage::{Counter, Counts, Merged, Part, Times};
 use sassafrasworks::relay::duty::{Api, Board, Duties, Journal, Reply, Runner};
@@ -39,6 +39,8 @@
     LosesAnswers(u64),
     /// Takes calls and does nothing until they time out.
     Hangs,
+    /// Says that the records from any position have expired.
+    Expires,
 }
 
 /// How the API treats the calls of an instance.
@@ -135,7 +137,7 @@
                 self.hang();
                 Err(SourceError::Unanswered("timeout".to_owned()))
             }
-            LogFault::None | LogFault::LosesAnswers(_) => Ok(()),
+            LogFault::None | LogFault::LosesAnswers(_) | LogFault::Expires => Ok(()),
         }
     }
 }
@@ -155,6 +157,9 @@
 
     fn read(&self, from: u64, _wait: u64) -> Result<Batch, SourceError> {
         self.check()?;
+        if self.faults.lock().unwrap().log == LogFault::Expires {
+            return Err(SourceError::Expired);
+        }
         let log = self.log.lock().unwrap();
         let first = position::at(log.era, log.first);
         if from < first || from > log.end() {
@@ -876,3 +881,24 @@
     assert!(!peers.is_isolated(START + 1_300), "half of them are heard");
     assert!(!peers.is_isolated(START + 6_400), "the others are gone");
 }
+
+#[test]
+fn log_whose_records_expire_at_once_is_read_with_pauses() {
+    // The users' platform takes 2,000 reads a second from all: a tenth of that for the candidates.
+    let (most, latency, seconds) = (2_000 / 10, 4, 10);
+    let mut world = World::new(MAX_CANDIDATES);
+    world.run(10_000);
+    world.set_all(LogFault::Expires, ApiFault::None);
+    let node = (0..MAX_CANDIDATES).find(|i| !world.holds(*i)).unwrap();
+    let until = world.clock.now() + seconds * 1_000;
+    let mut turns = 0;
+    while world.clock.now() < until {
+        let pause = world.nodes[node].runner.turn();
+        world.clock.advance(pause + latency);
+        turns += 1;
+    }
+    assert!(turns * MAX_CANDIDATES as u64 <= most * seconds, "{turns} turns of a candidate");
+    world.set_all(LogFault::None, ApiFault::None);
+    world.run(10_000);
+    assert_eq!((0..MAX_CANDIDATES).filter(|i| world.holds(*i)).count(), 1);
+}
