--- a/src/relay/follow.rs
+++ b/src/relay/follow.rs
@@ -11,6 +11,7 @@
 use super::table::RoutingTable;
 use crate::adapter::clock::Clock;
 use crate::adapter::http::{CallError, Client};
+use crate::fleet::position;
 use crate::fleet::readers::READERS;
 use crate::fleet::replica::{Batch, Replica, Topic};
 use crate::policy::place::Listing;
@@ -20,7 +21,7 @@
 const INSTANCES_INTERVAL: u64 = 30_000;
 /// Interval between checks whether the platform was restored from a copy, which may have lost the
 /// registration of this instance, in milliseconds.
-const ERA_INTERVAL: u64 = 1_000;
+const HISTORY_INTERVAL: u64 = 1_000;
 /// First and maximum pause after a failed call, in milliseconds.
 pub(super) const BACKOFF: (u64, u64) = (100, 800);
 /// Upper limit of the maximum pause in a large fleet, in milliseconds. The pause may be longer
@@ -316,12 +317,17 @@
 /// Registers this instance and reads the instance list at intervals.
 fn run_membership(source: &dyn Source, shared: &Shared, clock: &Clock, me: &(String, SocketAddr)) {
     let mut announced = false;
-    let mut era = shared.era();
+    // History of the platform in which this instance registered.
+    let mut registered = None;
     loop {
         if !announced {
             let addr = me.1.to_string();
+            let before = shared.history();
             match source.put(Topic::Instances, &[(&me.0, Some(addr.as_bytes()))]) {
-                Ok(_) => announced = true,
+                Ok(era) => {
+                    announced = true;
+                    registered = before.max(Some(position::history(position::at(era, 0))));
+                }
                 Err(e) => tracing::warn!("follow: registration failed, retrying: {e}"),
             }
         }
@@ -340,9 +346,8 @@
         }
         let until = clock.now() + INSTANCES_INTERVAL;
         while announced && clock.now() < until {
-            clock.sleep(ERA_INTERVAL);
-            let before = std::mem::replace(&mut era, shared.era());
-            announced = before.is_none() || era == before;
+            clock.sleep(HISTORY_INTERVAL);
+            announced = shared.history() <= registered;
         }
     }
 }
