--- a/tests/origin_fleet.rs
+++ b/tests/origin_fleet.rs
@@ -3,7 +3,8 @@
 //! of the policy and of the ledger's board; the steps of the driver between them are repeated here.
 //!
 //! More seeds by hand: `ORIGIN_SEEDS=200 cargo test --release --test origin_fleet`, one alone:
-//! `ORIGIN_SEED=17`. Figures of the records in a release: `ORIGIN_FIGURES=1`, with `--nocapture`.
+//! `ORIGIN_SEED=17`. Figures of the records in a release: `ORIGIN_FIGURES=6300`,
+//! the streams that begin each second, with `--nocapture`.
 #![allow(clippy::unwrap_used)]
 
 mod common;
@@ -239,6 +240,8 @@
     begun: Share,
     taken: Share,
     calls: Calls,
+    /// Time of the first release, and the calls before it.
+    released: Option<(Millis, Calls)>,
     joined: Vec<String>,
     trace: Option<usize>,
 }
@@ -312,6 +315,7 @@
             begun: Share::default(),
             taken: Share::default(),
             calls: Calls::default(),
+            released: None,
             joined: Vec::new(),
             trace: std::env::var("ORIGIN_TRACE").ok().and_then(|s| s.parse().ok()),
         };
@@ -755,7 +759,14 @@
     fn new_stream(&mut self) {
         let gap = 1_000.0 / self.plan.rate;
         let by = self.rng.random_range(0.0..2.0 * gap) as u64;
-        self.after(by, Event::NewStream);
+        self.after(by.max(1), Event::NewStream);
+        // Above one a millisecond, several begin at once.
+        for _ in 0..(1.0 / gap).ceil() as u64 {
+            self.begin_stream();
+        }
+    }
+
+    fn begin_stream(&mut self) {
         self.streams.push(Stream {
             began: None,
             attempt: 0,
@@ -1058,6 +1069,7 @@
     }
 
     fn begin_release(&mut self) {
+        self.released.get_or_insert((self.now, self.calls));
         self.steps = ENDPOINTS;
         let returns = self.plan.faults != Faults::Store && self.versions > 1;
         self.from = self.to;
@@ -1227,6 +1239,32 @@
     Plan { instances, faults, rate, length, timeout: TIMEOUT }
 }
 
+/// Prints the calls that the records of a large load cost in a release.
+#[test]
+fn figures_of_records() {
+    let Some(rate) = number("ORIGIN_FIGURES") else { return };
+    for instances in [9, 195, 750] {
+        let (rate, timeout) = (rate as f64, 15_000);
+        let plan = Plan { timeout, ..plan(instances, Faults::None, rate, timeout + 12_500) };
+        let sim = Sim::new(1, plan).run();
+        let (since, before) = sim.released.unwrap();
+        let s = (sim.now - since) as f64 / 1_000.0;
+        let each = |now: u64, before: u64| (now - before) as f64 / s;
+        println!(
+            "{instances} instances, {rate} streams/s, {s:.1} s from the release on: {:.0} writes/s, \
+             {:.0} KB/s written, {:.0} reads/s, {:.0} KB/s read, largest write {} KB; begun {:.3}, \
+             taken up {:.3}",
+            each(sim.calls.writes, before.writes),
+            each(sim.calls.written, before.written) / 1_000.0,
+            each(sim.calls.reads, before.reads),
+            each(sim.calls.read, before.read) / 1_000.0,
+            sim.calls.largest / 1_000,
+            sim.begun.value(),
+            sim.taken.value(),
+        );
+    }
+}
+
 /// Ordinary releases, back and forth, without a fault.
 #[test]
 fn streams_keep_their_version_in_releases() {
@@ -1254,6 +1292,13 @@
     play(1, plan(750, Faults::Returns, 40.0, 15_000));
 }
 
+/// The release goes back while instances, whose writes wait for their turn, begin streams without a record.
+#[test]
+fn stream_joined_in_a_large_fleet_that_goes_back() {
+    let sim = Sim::new(27, plan(195, Faults::Returns, 40.0, 40_000)).run();
+    assert!(sim.joined.is_empty(), "{:?}", sim.joined);
+}
+
 /// With all faults of the store.
 #[test]
 fn streams_keep_their_version_beside_a_failing_store() {
