Streams: instances of a large fleet wait for their turn to write before they begin streams without a record

At 195 instances on a platform with 400 writes a second the interval between writes of an instance is 975 ms, at 750 it is 3,750 ms.

After 400 ms streams begin at the base as before, as far as it serves. Others wait until the write has had its turn and 400 ms more.

--- a/src/policy/origin/mod.rs
+++ b/src/policy/origin/mod.rs
@@ -25,8 +25,8 @@
 pub const MAX_LIFETIME: u64 = 600_000;
 /// Time added to the longest timeout of a route, in milliseconds, for requests under way.
 const LIFETIME_MARGIN: u64 = 1_000;
-/// Time after which a write that isn't acknowledged shows that streams can't be recorded now, in
-/// milliseconds.
+/// Time after which streams begin at the base while a write isn't acknowledged, in milliseconds. If it isn't
+/// for this time after its turn, streams can't be recorded now.
 pub const WRITE_TIMEOUT: u64 = 400;
 /// Maximum streams of another instance that are kept.
 const MAX_LEARNED: usize = 100_000;
@@ -141,6 +141,8 @@
     changes: Changes,
     /// The record of this instance is to be written.
     is_unwritten: bool,
+    /// Time that a write waits for its turn, in milliseconds.
+    write_wait: u64,
 }
 
 /// Numbers of changes of the records.
@@ -253,6 +255,9 @@
         if let Some(base) = self.base(now, service).filter(|b| serves(*b)) {
             return Begin::Base(base);
         }
+        if !self.is_write_lost(now) && self.era.is_some() {
+            return Begin::Any;
+        }
         let known = self.bases.get(service);
         if known.is_some_and(Base::is_listed) {
             return Begin::Refuse;
@@ -295,7 +300,7 @@
             }
             let own = OwnStream { service: service.to_owned(), stream, recorded, change };
             self.own.insert(attempt, own);
-            if was_recorded && self.is_write_late(now) {
+            if was_recorded && self.is_write_lost(now) {
                 return Readiness::Stuck;
             }
         }
@@ -308,7 +313,7 @@
             let alone = self.bases.get(service).is_some_and(Base::is_alone);
             return if alone { Readiness::Ready } else { Readiness::Wait };
         }
-        if !self.is_write_late(now) {
+        if !self.is_write_lost(now) {
             return Readiness::Wait;
         }
         let may_begin = recorded && self.may_begin_unrecorded(service, software);
@@ -319,7 +324,7 @@
     pub fn is_recording(&self, now: Millis, attempt: &str) -> bool {
         let own = self.own.get(&Attempt::of(attempt));
         let is_unwritten = own.is_some_and(|o| o.change > self.changes.written);
-        is_unwritten && self.era.is_some() && !self.is_write_late(now)
+        is_unwritten && self.era.is_some() && !self.is_write_lost(now)
     }
 
     /// Puts a stream that goes on here on record, for as long as the caller of this attempt waits.
@@ -555,15 +560,21 @@
         }
     }
 
-    /// True if streams can't be recorded now.
+    /// Sets the time that a write waits for its turn at most, in milliseconds: it grows with the fleet.
+    pub fn set_write_wait(&mut self, ms: u64) {
+        self.write_wait = ms;
+    }
+
+    /// True if a write takes long: streams begin at the base as far as it serves.
     fn is_write_late(&self, now: Millis) -> bool {
         let first = self.changes.submitted.front();
         first.is_some_and(|(.., at)| at + WRITE_TIMEOUT <= now)
     }
 
-    /// Time at which it shows that streams can't be recorded, if writes are under way.
-    pub fn write_deadline(&self) -> Option<Millis> {
-        self.changes.submitted.front().map(|(.., at)| at + WRITE_TIMEOUT)
+    /// True if streams can't be recorded now.
+    fn is_write_lost(&self, now: Millis) -> bool {
+        let first = self.changes.submitted.front();
+        first.is_some_and(|(.., at)| at + self.write_wait + WRITE_TIMEOUT <= now)
     }
 
     /// Forgets streams whose callers don't wait any more.
--- a/src/relay/driver/origins.rs
+++ b/src/relay/driver/origins.rs
@@ -123,7 +123,7 @@
         let begin = self.origins.begin(now, &service, |v| self.serves(&service, v));
         let Some(exchange) = self.callers[index].exchange.as_mut() else { return };
         match begin {
-            Begin::Any if exchange.lineage == Lineage::Recording => {}
+            Begin::Any | Begin::Base(_) if exchange.lineage == Lineage::Recording => {}
             Begin::Any | Begin::Unrecorded => {
                 exchange.lineage = Lineage::Free;
                 exchange.requirements.software = None;
@@ -284,6 +284,7 @@
         if let Some(era) = self.shared.era() {
             self.origins.note_era(now, era);
         }
+        self.origins.set_write_wait(self.shared.ledger().write_interval());
         let informed = self.shared.replica(Topic::Endpoints).end() > 0 && self.is_informed(now);
         for (name, pool) in &self.pools {
             self.origins.observe(now, name, &pool.balancer.listed_versions(), informed);
--- a/src/relay/ledger/board.rs
+++ b/src/relay/ledger/board.rs
@@ -39,6 +39,8 @@
     is_open: bool,
     /// Latest known era of the platform.
     era: u64,
+    /// Interval between the starts of two writes, in milliseconds.
+    write_interval: u64,
 }
 
 impl State {
@@ -190,6 +192,16 @@
         Some(written)
     }
 
+    /// Notes the interval between the starts of two writes, in milliseconds.
+    pub fn set_write_interval(&self, ms: u64) {
+        self.state().write_interval = ms;
+    }
+
+    /// The interval between the starts of two writes, in milliseconds.
+    pub fn write_interval(&self) -> u64 {
+        self.state().write_interval
+    }
+
     /// Blocks until something is to be written, for `max` milliseconds at most.
     pub fn wait_for_change(&self, max: u64) {
         self.wait(max, State::has_work);
--- a/src/relay/ledger/writer.rs
+++ b/src/relay/ledger/writer.rs
@@ -44,6 +44,8 @@
         if let Some(era) = self.shared.era() {
             self.shared.ledger().note_era(era);
         }
+        let interval = self.budget.write_interval(self.shared.instances().len());
+        self.shared.ledger().set_write_interval(interval);
         let Some(batch) = self.shared.ledger().batch() else { return Next::Wait };
         self.write(&batch);
         Next::Pause(self.next_at.saturating_sub(self.clock.now()))
